--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Module list of the workspace, so that no module is left out of a target.
+MODULES := $(shell go list -m)
+PACKAGES := $(addsuffix /...,$(MODULES))
+
+.PHONY: build test bench lint format generate
+
+build:
+	go build $(PACKAGES)
+
+.NOTPARALLEL:
+
+test:
+	go test -race -count=1 $(PACKAGES)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./pkg/place/... ./pkg/queue/... ./pkg/route/...
+
+lint:
+	.ci/lint
+
+format:
+	.ci/lint --fix
+
+generate:
+	.ci/generate
--- /dev/null
+++ b/internal/back/doc.go
@@ -0,0 +1,2 @@
+// Package back is a stand-in for a backend server.
+package back
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry assembles one entry instance.
+package entry
--- /dev/null
+++ b/internal/front/doc.go
@@ -0,0 +1,2 @@
+// Package front serves the HTTP API of an entry instance.
+package front
--- /dev/null
+++ b/internal/plat/doc.go
@@ -0,0 +1,2 @@
+// Package plat is a stand-in for the platform.
+package plat
--- /dev/null
+++ b/internal/rack/doc.go
@@ -0,0 +1,2 @@
+// Package rack runs a whole rack in one process.
+package rack
--- /dev/null
+++ b/internal/sched/doc.go
@@ -0,0 +1,2 @@
+// Package sched runs the owner duty of a failure domain.
+package sched
--- /dev/null
+++ b/internal/setup/doc.go
@@ -0,0 +1,2 @@
+// Package setup reads and checks the settings file of a process.
+package setup
--- /dev/null
+++ b/internal/work/doc.go
@@ -0,0 +1,2 @@
+// Package work is a stand-in for a worker.
+package work
--- /dev/null
+++ b/pkg/config/doc.go
@@ -0,0 +1,2 @@
+// Package config keeps the configuration documents in force.
+package config
--- /dev/null
+++ b/pkg/event/doc.go
@@ -0,0 +1,2 @@
+// Package event records the time line of events over all processes.
+package event
--- /dev/null
+++ b/pkg/health/doc.go
@@ -0,0 +1,2 @@
+// Package health quarantines workers that fail everything and backs off crash loops.
+package health
--- /dev/null
+++ b/pkg/member/doc.go
@@ -0,0 +1,2 @@
+// Package member keeps one entry instance's view of the others.
+package member
--- /dev/null
+++ b/pkg/once/doc.go
@@ -0,0 +1,2 @@
+// Package once makes non-idempotent requests run at most once.
+package once
--- /dev/null
+++ b/pkg/place/doc.go
@@ -0,0 +1,2 @@
+// Package place decides which worker holds a task.
+package place
--- /dev/null
+++ b/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue decides which work is admitted and which runs next.
+package queue
--- /dev/null
+++ b/pkg/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses backend servers and forwards requests to them.
+package route
--- /dev/null
+++ b/pkg/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage learns sizes and run times from delayed reports.
+package usage
