--- /dev/null
+++ b/pkg/health/tracker.go
@@ -0,0 +1,300 @@
+package health
+
+import (
+	"container/list"
+	"slices"
+	"time"
+)
+
+const (
+	defaultWorkerFailures = 5
+	defaultWorkerJobs     = 3
+	defaultQuarantine     = 10 * time.Second
+	defaultMaxQuarantine  = 10 * time.Minute
+	defaultProbeTimeout   = time.Minute
+	defaultJobWorkers     = 3
+	defaultJobFailures    = 10
+	defaultBackoff        = time.Second
+	defaultMaxBackoff     = 5 * time.Minute
+	defaultMaxEntries     = 8192
+)
+
+// Tracker tells workers that fail everything from jobs that fail everywhere.
+// The zero value is ready; one goroutine owns it. Set the fields before the first call;
+// 0 means the default.
+type Tracker struct {
+	// WorkerFailures in a row, of at least WorkerJobs different jobs, quarantine a worker.
+	// Defaults 5 and 3.
+	WorkerFailures int
+	WorkerJobs     int
+	// Quarantine is the first quarantine; it doubles with each failed probe up to
+	// MaxQuarantine. Defaults 10 s and 10 min.
+	Quarantine    time.Duration
+	MaxQuarantine time.Duration
+	// ProbeTimeout is after what time without an outcome of a probe another one may start. Default 1 min.
+	ProbeTimeout time.Duration
+
+	// JobWorkers is on how many workers a job has to fail, without a success in between,
+	// to be backed off. Default 3.
+	JobWorkers int
+	// JobFailures in a row back a job off on any number of workers, which matters when the
+	// cell has fewer than JobWorkers. Default 10.
+	JobFailures int
+	// Backoff is the first delay of a job; it doubles with each failure after the delay
+	// up to MaxBackoff. Defaults 1 s and 5 min.
+	Backoff    time.Duration
+	MaxBackoff time.Duration
+
+	// MaxEntries bounds the workers and the jobs that are remembered, each; the one whose
+	// last failure is the oldest is forgotten. Default 8,192.
+	MaxEntries int
+
+	workers table
+	jobs    table
+}
+
+// record is the state of one worker or job that failed since its last success.
+type record struct {
+	name string
+	// others has the counterpart of each failure in a row, oldest first: the jobs that
+	// failed on a worker, or the workers on which a job failed.
+	others []string
+	// failures counts all failures of a job in a row.
+	failures int
+	// delay is the present quarantine or back-off; 0 means none.
+	delay time.Duration
+	until time.Time
+	// probed is when the probe started; zero means that none is running.
+	probed time.Time
+}
+
+// Failed records that a task of the job failed on the worker. A failure of a job that is
+// backed off does not count against the worker, and one on a quarantined worker does not
+// count against the job.
+func (t *Tracker) Failed(now time.Time, worker, job string) {
+	w := t.workers.touch(worker, t.maxEntries())
+	j := t.jobs.touch(job, t.maxEntries())
+	if w.delay > 0 {
+		t.failProbe(now, w)
+		return
+	}
+	if j.delay > 0 {
+		t.extend(now, j)
+		return
+	}
+	t.countJob(now, j, worker)
+	if j.delay > 0 {
+		t.forgive(j)
+		return
+	}
+	t.countWorker(now, w, job)
+}
+
+// failProbe doubles the quarantine when a probe failed; late failures of older tasks change nothing.
+func (t *Tracker) failProbe(now time.Time, w *record) {
+	if now.Before(w.until) {
+		return
+	}
+	w.delay = min(2*w.delay, orDuration(t.MaxQuarantine, defaultMaxQuarantine))
+	w.until = now.Add(w.delay)
+	w.probed = time.Time{}
+}
+
+// extend doubles the back-off of a job that failed after its delay.
+func (t *Tracker) extend(now time.Time, j *record) {
+	if now.Before(j.until) {
+		return
+	}
+	j.delay = min(2*j.delay, orDuration(t.MaxBackoff, defaultMaxBackoff))
+	j.until = now.Add(j.delay)
+}
+
+func (t *Tracker) countJob(now time.Time, j *record, worker string) {
+	j.failures++
+	if !slices.Contains(j.others, worker) {
+		j.others = append(j.others, worker)
+	}
+	if len(j.others) < orInt(t.JobWorkers, defaultJobWorkers) && j.failures < orInt(t.JobFailures, defaultJobFailures) {
+		return
+	}
+	j.delay = orDuration(t.Backoff, defaultBackoff)
+	j.until = now.Add(j.delay)
+}
+
+// forgive takes the failures of a job that is backed off from the workers they were counted against.
+func (t *Tracker) forgive(j *record) {
+	for _, name := range j.others {
+		if w := t.workers.look(name); w != nil && w.delay == 0 {
+			w.others = slices.DeleteFunc(w.others, func(job string) bool { return job == j.name })
+		}
+	}
+}
+
+func (t *Tracker) countWorker(now time.Time, w *record, job string) {
+	limit := orInt(t.WorkerFailures, defaultWorkerFailures)
+	w.others = append(w.others, job)
+	if len(w.others) < limit || distinct(w.others) < orInt(t.WorkerJobs, defaultWorkerJobs) {
+		w.others = trim(w.others, limit)
+		return
+	}
+	w.delay = orDuration(t.Quarantine, defaultQuarantine)
+	w.until = now.Add(w.delay)
+	t.acquit(w)
+}
+
+// acquit takes the failures on a quarantined worker from the jobs they were counted against.
+func (t *Tracker) acquit(w *record) {
+	for _, name := range w.others {
+		if j := t.jobs.look(name); j != nil && j.delay == 0 {
+			j.others = slices.DeleteFunc(j.others, func(worker string) bool { return worker == w.name })
+			j.failures = max(j.failures-1, 0)
+		}
+	}
+}
+
+// Succeeded records that a task of the job succeeded on the worker: both are healthy.
+func (t *Tracker) Succeeded(_ time.Time, worker, job string) {
+	t.workers.forget(worker)
+	t.jobs.forget(job)
+}
+
+// Usable reports whether tasks may be placed on the worker. With probe set, one task may:
+// the caller reports its start with Started and places no other until the outcome.
+func (t *Tracker) Usable(now time.Time, worker string) (ok, probe bool) {
+	w := t.workers.look(worker)
+	if w == nil || w.delay == 0 {
+		return true, false
+	}
+	if now.Before(w.until) {
+		return false, false
+	}
+	if !w.probed.IsZero() && now.Before(w.probed.Add(orDuration(t.ProbeTimeout, defaultProbeTimeout))) {
+		return false, false
+	}
+	return true, true
+}
+
+// Started records that the probe task of the worker started; it is ignored for other workers.
+func (t *Tracker) Started(now time.Time, worker string) {
+	if _, probe := t.Usable(now, worker); probe {
+		t.workers.look(worker).probed = now
+	}
+}
+
+// NextTry returns when a task of the job may be placed next: now, or the end of its back-off.
+func (t *Tracker) NextTry(now time.Time, job string) time.Time {
+	j := t.jobs.look(job)
+	if j == nil || j.delay == 0 || j.until.Before(now) {
+		return now
+	}
+	return j.until
+}
+
+// Quarantined returns the names of the workers that are quarantined or being probed, sorted.
+func (t *Tracker) Quarantined() []string {
+	return t.workers.delayed()
+}
+
+// BackedOff returns the names of the jobs that failed on too many workers, sorted.
+func (t *Tracker) BackedOff() []string {
+	return t.jobs.delayed()
+}
+
+// Forget drops what is known of a worker, as after its replacement.
+func (t *Tracker) Forget(worker string) {
+	t.workers.forget(worker)
+}
+
+func (t *Tracker) maxEntries() int {
+	return orInt(t.MaxEntries, defaultMaxEntries)
+}
+
+// distinct counts the different names.
+func distinct(names []string) int {
+	n := 0
+	for i, name := range names {
+		if !slices.Contains(names[:i], name) {
+			n++
+		}
+	}
+	return n
+}
+
+// trim bounds the failures of a worker on which too few different jobs failed. It drops
+// the oldest failure of a job that failed more than once, so that different jobs stay.
+func trim(names []string, limit int) []string {
+	for len(names) >= 2*limit {
+		drop := 0
+		for i, name := range names {
+			if slices.Contains(names[i+1:], name) {
+				drop = i
+				break
+			}
+		}
+		names = slices.Delete(names, drop, drop+1)
+	}
+	return names
+}
+
+// table holds the records in the order of their last failure.
+type table struct {
+	byName map[string]*list.Element
+	order  list.List
+}
+
+func (b *table) look(name string) *record {
+	el, ok := b.byName[name]
+	if !ok {
+		return nil
+	}
+	return el.Value.(*record)
+}
+
+// touch returns the record of the name, a new one if need be, as the latest.
+func (b *table) touch(name string, limit int) *record {
+	if el, ok := b.byName[name]; ok {
+		b.order.MoveToFront(el)
+		return el.Value.(*record)
+	}
+	if b.byName == nil {
+		b.byName = make(map[string]*list.Element)
+	}
+	for len(b.byName) >= limit {
+		b.forget(b.order.Back().Value.(*record).name)
+	}
+	r := &record{name: name}
+	b.byName[name] = b.order.PushFront(r)
+	return r
+}
+
+func (b *table) forget(name string) {
+	if el, ok := b.byName[name]; ok {
+		b.order.Remove(el)
+		delete(b.byName, name)
+	}
+}
+
+func (b *table) delayed() []string {
+	var names []string
+	for name, el := range b.byName {
+		if el.Value.(*record).delay > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func orInt(v, def int) int {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func orDuration(v, def time.Duration) time.Duration {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/pkg/place/reason.go
@@ -0,0 +1,123 @@
+package place
+
+import "fmt"
+
+// Code is the kind of a Reason.
+type Code uint8
+
+const (
+	// Placed means that the task was granted its resources.
+	Placed Code = iota
+	// NoWorkers means that the cell has no worker that accepts tasks.
+	NoWorkers
+	// NoRoom means that no worker has enough free capacity now.
+	NoRoom
+	// TooLarge means that no worker could hold the task even when empty.
+	TooLarge
+	// TooMany means that the empty cell could not hold that many tasks at the same time.
+	TooMany
+	// Reserved means that the free capacity is held for an all-at-once job.
+	Reserved
+	// Duplicate means that the cell already holds a task with this id.
+	Duplicate
+	// Invalid means that a need is negative or an id is empty.
+	Invalid
+	// OtherReservation means that another job holds the reservation.
+	OtherReservation
+	// NeverFree means that services and tasks without an end occupy what the job needs.
+	NeverFree
+)
+
+// Dimension names one field of Resources.
+type Dimension uint8
+
+const (
+	// Several means that no single dimension is the cause.
+	Several Dimension = iota
+	// CPU is Resources.CPUMillis.
+	CPU
+	// Memory is Resources.MemoryMB.
+	Memory
+	// Accelerators is Resources.Accelerators.
+	Accelerators
+)
+
+var dimensionNames = [...]string{"the combination of resources", "cpu_millis", "memory_mb", "accelerators"}
+
+// String returns the name used in documents.
+func (d Dimension) String() string {
+	if int(d) >= len(dimensionNames) {
+		return "unknown"
+	}
+	return dimensionNames[d]
+}
+
+// Reason says why a decision was made; values are comparable.
+type Reason struct {
+	Code Code
+
+	// Dimension is the resource that is lacking when Code is TooLarge.
+	Dimension Dimension
+
+	// Need and Have are amounts of Dimension (TooLarge) or numbers of tasks (TooMany).
+	Need int64
+	Have int64
+}
+
+// String returns a sentence for operators.
+func (r Reason) String() string {
+	switch r.Code {
+	case Placed:
+		return "placed"
+	case NoWorkers:
+		return "no worker accepts tasks"
+	case NoRoom:
+		return "no worker has enough free capacity now"
+	case TooLarge:
+		return r.tooLarge()
+	case TooMany:
+		return fmt.Sprintf("needs %d tasks at the same time; the workers hold at most %d of this size", r.Need, r.Have)
+	case Reserved:
+		return "the free capacity is reserved for an all-at-once job"
+	case Duplicate:
+		return "a task with this id is already placed"
+	case Invalid:
+		return "the task has no id or a negative need"
+	case OtherReservation:
+		return "another all-at-once job holds the reservation"
+	case NeverFree:
+		return "services occupy what the job needs"
+	}
+	return "unknown"
+}
+
+func (r Reason) tooLarge() string {
+	if r.Dimension == Several {
+		return "no single worker has this combination of resources"
+	}
+	return fmt.Sprintf("needs %d %s; the largest worker has %d", r.Need, r.Dimension, r.Have)
+}
+
+// Decision is the outcome of placing one task; Worker is empty when it was not placed.
+type Decision struct {
+	Worker string
+	Reason Reason
+}
+
+// Decisions are the outcomes of placing several tasks, in the order of the tasks.
+type Decisions []Decision
+
+// Placed reports whether every task was placed; PlaceAll places all or none.
+func (d Decisions) Placed() bool {
+	return len(d) > 0 && d.Reason().Code == Placed
+}
+
+// Reason returns why the tasks were not placed, or Placed.
+func (d Decisions) Reason() Reason {
+	for _, one := range d {
+		if one.Reason.Code != Placed {
+			return one.Reason
+		}
+	}
+	return Reason{}
+}
--- /dev/null
+++ b/pkg/place/resources.go
@@ -0,0 +1,54 @@
+package place
+
+// Resources is an amount of what a worker offers and a task needs.
+type Resources struct {
+	// CPUMillis is processor time in thousandths of a core.
+	CPUMillis int64
+	// MemoryMB is memory in units of 2^20 bytes.
+	MemoryMB int64
+	// Accelerators is a number of whole accelerators.
+	Accelerators int64
+}
+
+// Add returns r plus o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUMillis + o.CPUMillis, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r minus o; the result may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUMillis - o.CPUMillis, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r fits into free in every dimension.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPUMillis <= free.CPUMillis && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// Max returns the larger value of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		max(r.CPUMillis, o.CPUMillis),
+		max(r.MemoryMB, o.MemoryMB),
+		max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Min returns the smaller value of r and o in each dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		min(r.CPUMillis, o.CPUMillis),
+		min(r.MemoryMB, o.MemoryMB),
+		min(r.Accelerators, o.Accelerators),
+	}
+}
+
+// negative reports whether any dimension is below zero.
+func (r Resources) negative() bool {
+	return r.CPUMillis < 0 || r.MemoryMB < 0 || r.Accelerators < 0
+}
+
+// positive returns r with every dimension below zero raised to zero.
+func (r Resources) positive() Resources {
+	return r.Max(Resources{})
+}
--- /dev/null
+++ b/pkg/usage/book.go
@@ -0,0 +1,188 @@
+package usage
+
+import (
+	"container/list"
+	"time"
+)
+
+const (
+	defaultMaxJobs    = 4096
+	defaultPercentile = 0.95
+	defaultMargin     = 0.15
+	defaultMinReports = 20
+	defaultMinRuns    = 3
+	defaultHalfLife   = 24 * time.Hour
+	defaultPeakWindow = 10 * time.Minute
+
+	// runHalfLife is the number of runs after which a run time weighs half.
+	runHalfLife = 32
+)
+
+// Book learns the sizes and run times of jobs from reports that may arrive late and out
+// of order. The key is a job, or a family of jobs as Family names it. The zero value is
+// ready; one goroutine owns it. Set the fields before the first call; 0 means the default.
+type Book struct {
+	// MaxJobs bounds the jobs that are remembered; the least recently used is forgotten.
+	// Default 4,096, about 2.5 KB each.
+	MaxJobs int
+	// Percentile of the reports that an estimate covers, 0 to 1. Default 0.95.
+	Percentile float64
+	// Margin is added to the percentile as a fraction of it. Default 0.15.
+	Margin float64
+	// BelowPeak is how far below the recent peak an estimate may be, as a fraction of
+	// that peak. Default 0: not below it.
+	BelowPeak float64
+	// PeakWindow is how long a peak counts as recent, at least; at most twice as long. Default 10 min.
+	PeakWindow time.Duration
+	// HalfLife is the age at which a report weighs half. Default 24 h.
+	HalfLife time.Duration
+	// MinReports is the number of reports from which the declared size no longer counts. Default 20.
+	MinReports int
+	// MinRuns is the number of finished runs from which a run time is known. Default 3.
+	MinRuns int
+	// Capacity is the largest size that a learned estimate has; 0 means no bound in that dimension.
+	Capacity Amount
+
+	jobs  map[string]*list.Element
+	order list.List
+}
+
+// entry is what is known of one job.
+type entry struct {
+	job      string
+	reports  int
+	runs     int
+	cpu      histogram
+	mem      histogram
+	run      histogram
+	newest   time.Time
+	peak     Amount
+	previous Amount
+	peakAt   time.Time
+}
+
+// Observe counts a report of what one task of the job used at the time at. Values below
+// zero count as zero. A report that is older than the newest one weighs less by its age.
+func (b *Book) Observe(job string, used Amount, at time.Time) {
+	e := b.touch(job)
+	used = used.Max(Amount{})
+	late := 0.0
+	if at.After(e.newest) {
+		if e.reports > 0 {
+			halvings := float64(at.Sub(e.newest)) / float64(orDuration(b.HalfLife, defaultHalfLife))
+			e.cpu.age(halvings)
+			e.mem.age(halvings)
+		}
+		e.newest = at
+	} else {
+		late = float64(e.newest.Sub(at)) / float64(orDuration(b.HalfLife, defaultHalfLife))
+	}
+	e.cpu.add(used.CPUMillis, late)
+	e.mem.add(used.MemoryMB, late)
+	e.reports++
+	b.notePeak(e, used, at)
+}
+
+// notePeak keeps the peaks of the present and the previous window.
+func (b *Book) notePeak(e *entry, used Amount, at time.Time) {
+	window := orDuration(b.PeakWindow, defaultPeakWindow)
+	switch age := at.Sub(e.peakAt); {
+	case e.peakAt.IsZero() || age >= 2*window:
+		e.previous, e.peak, e.peakAt = Amount{}, used, at
+	case age >= window:
+		e.previous, e.peak, e.peakAt = e.peak, used, at
+	case age >= 0:
+		e.peak = e.peak.Max(used)
+	case age >= -window:
+		e.previous = e.previous.Max(used)
+	}
+}
+
+// Finished counts the time from start to successful end of one task of the job.
+func (b *Book) Finished(job string, run time.Duration) {
+	e := b.touch(job)
+	e.run.age(1.0 / runHalfLife)
+	e.run.add(int64((max(run, 0)+time.Second-1)/time.Second), 0)
+	e.runs++
+}
+
+// Size returns what a new task of the job should be granted. Until MinReports reports it
+// is the declared size, or the recent peak where that is larger; then it is the percentile
+// plus the margin, not below the recent peak by more than BelowPeak. The learned part never
+// exceeds Capacity; a declared size above it is returned as it is, so that it is reported
+// as impossible instead of being placed too small.
+func (b *Book) Size(job string, declared Amount) Amount {
+	e := b.look(job)
+	if e == nil || e.reports == 0 {
+		return declared
+	}
+	floor := e.peak.Max(e.previous).times(1 - b.BelowPeak)
+	if e.reports < orInt(b.MinReports, defaultMinReports) {
+		return declared.Max(floor.cap(b.Capacity))
+	}
+	q := orFloat(b.Percentile, defaultPercentile)
+	learned := Amount{e.cpu.quantile(q), e.mem.quantile(q)}
+	return learned.times(1 + orFloat(b.Margin, defaultMargin)).Max(floor).cap(b.Capacity)
+}
+
+// RunTime returns how long a task of the job is expected to run: the percentile of its
+// finished runs when at least MinRuns are known, otherwise the declared time and false.
+// Estimates are whole seconds.
+func (b *Book) RunTime(job string, declared time.Duration) (estimate time.Duration, known bool) {
+	e := b.look(job)
+	if e == nil || e.runs < orInt(b.MinRuns, defaultMinRuns) {
+		return declared, false
+	}
+	return time.Duration(e.run.quantile(orFloat(b.Percentile, defaultPercentile))) * time.Second, true
+}
+
+// Len returns the number of jobs that are remembered.
+func (b *Book) Len() int { return len(b.jobs) }
+
+func (b *Book) look(job string) *entry {
+	el, ok := b.jobs[job]
+	if !ok {
+		return nil
+	}
+	b.order.MoveToFront(el)
+	return el.Value.(*entry)
+}
+
+// touch returns the entry of the job; a new one may push out the least recently used.
+func (b *Book) touch(job string) *entry {
+	if e := b.look(job); e != nil {
+		return e
+	}
+	if b.jobs == nil {
+		b.jobs = make(map[string]*list.Element)
+	}
+	for len(b.jobs) >= orInt(b.MaxJobs, defaultMaxJobs) {
+		last := b.order.Back()
+		delete(b.jobs, last.Value.(*entry).job)
+		b.order.Remove(last)
+	}
+	e := &entry{job: job}
+	b.jobs[job] = b.order.PushFront(e)
+	return e
+}
+
+func orInt(v, def int) int {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func orFloat(v, def float64) float64 {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func orDuration(v, def time.Duration) time.Duration {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/pkg/usage/snapshot.go
@@ -0,0 +1,129 @@
+package usage
+
+import (
+	"container/list"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// version of the snapshot format.
+const version = 1
+
+// ErrSnapshot means that a snapshot can not be read.
+var ErrSnapshot = errors.New("usage: invalid snapshot")
+
+type savedBook struct {
+	Version int        `json:"version"`
+	Jobs    []savedJob `json:"jobs"`
+}
+
+type savedJob struct {
+	Job      string         `json:"job"`
+	Reports  int            `json:"reports"`
+	Runs     int            `json:"runs"`
+	CPU      savedHistogram `json:"cpu"`
+	Memory   savedHistogram `json:"memory"`
+	Run      savedHistogram `json:"run"`
+	Newest   time.Time      `json:"newest"`
+	Peak     Amount         `json:"peak"`
+	Previous Amount         `json:"previous"`
+	PeakAt   time.Time      `json:"peak_at"`
+}
+
+// savedHistogram has the slots with a weight; weights are relative to the newest value.
+type savedHistogram struct {
+	Slots   []int     `json:"slots,omitempty"`
+	Weights []float32 `json:"weights,omitempty"`
+}
+
+// Snapshot returns everything learned as JSON, the most recently used job first.
+func (b *Book) Snapshot() []byte {
+	out := savedBook{Version: version, Jobs: make([]savedJob, 0, len(b.jobs))}
+	for el := b.order.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		out.Jobs = append(out.Jobs, savedJob{
+			e.job, e.reports, e.runs, e.cpu.save(), e.mem.save(), e.run.save(),
+			e.newest, e.peak, e.previous, e.peakAt,
+		})
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		panic(errors.Wrap(err, "usage: unable to encode a snapshot"))
+	}
+	return data
+}
+
+// Restore replaces everything learned by a snapshot. On ErrSnapshot the book is unchanged.
+// Jobs beyond MaxJobs are left out, the least recently used first.
+func (b *Book) Restore(data []byte) error {
+	var in savedBook
+	if err := json.Unmarshal(data, &in); err != nil {
+		return errors.Mark(errors.Wrap(err, "usage: unable to decode a snapshot"), ErrSnapshot)
+	}
+	if in.Version != version {
+		return errors.Wrapf(ErrSnapshot, "version %d, want %d", in.Version, version)
+	}
+	fresh := Book{MaxJobs: b.MaxJobs}
+	in.Jobs = in.Jobs[:min(len(in.Jobs), orInt(b.MaxJobs, defaultMaxJobs))]
+	for i := len(in.Jobs) - 1; i >= 0; i-- {
+		if err := fresh.load(&in.Jobs[i]); err != nil {
+			return err
+		}
+	}
+	b.jobs = fresh.jobs
+	b.order = list.List{}
+	for el := fresh.order.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		b.jobs[e.job] = b.order.PushBack(e)
+	}
+	return nil
+}
+
+func (b *Book) load(s *savedJob) error {
+	if s.Job == "" || s.Reports < 0 || s.Runs < 0 {
+		return errors.Wrapf(ErrSnapshot, "job %q: %d reports, %d runs", s.Job, s.Reports, s.Runs)
+	}
+	e := b.touch(s.Job)
+	e.reports, e.runs, e.newest = s.Reports, s.Runs, s.Newest
+	e.peak, e.previous, e.peakAt = s.Peak, s.Previous, s.PeakAt
+	for _, part := range []struct {
+		to   *histogram
+		from savedHistogram
+	}{{&e.cpu, s.CPU}, {&e.mem, s.Memory}, {&e.run, s.Run}} {
+		if !part.to.load(part.from) {
+			return errors.Wrapf(ErrSnapshot, "job %q: histogram", s.Job)
+		}
+	}
+	return nil
+}
+
+func (h *histogram) save() savedHistogram {
+	var out savedHistogram
+	for i, w := range h.weights {
+		if w > 0 {
+			out.Slots = append(out.Slots, i)
+			out.Weights = append(out.Weights, float32(float64(w)/h.scale))
+		}
+	}
+	return out
+}
+
+func (h *histogram) load(s savedHistogram) bool {
+	if len(s.Slots) != len(s.Weights) {
+		return false
+	}
+	for i, slot := range s.Slots {
+		if slot < 0 || slot >= slots || !(s.Weights[i] >= 0) {
+			return false
+		}
+		if h.weights == nil {
+			h.weights = make([]float32, slots)
+			h.scale = 1
+		}
+		h.weights[slot] = s.Weights[i]
+		h.total += float64(s.Weights[i])
+	}
+	return true
+}
