route: forward requests to backend servers within slot shares

Cause: the front and the owner duty need the interface of the router. Conclusion: the interface can be built on; the fault cases are not tested yet.

--- /dev/null
+++ b/pkg/route/server.go
@@ -0,0 +1,134 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// latencyDecay is the time constant of the Peak-EWMA latency.
+	latencyDecay = 10 * time.Second
+	// minLatency keeps the number of outstanding requests in the cost of an idle server.
+	minLatency = 100 * time.Microsecond
+
+	ejectAfter = 5
+	minEject   = time.Second
+	maxEject   = 60 * time.Second
+
+	// refusalPause is how long a server that refused for lack of a slot is avoided.
+	refusalPause = 50 * time.Millisecond
+	refusalCost  = time.Second
+)
+
+// server is the state of one backend server; Router.mu guards it except for links.
+type server struct {
+	Backend
+	router *Router
+	links  links
+
+	listedState State
+	selfMarked  bool
+	polling     bool
+
+	granted  int
+	grantEnd time.Time
+	used     int
+	peak     int // highest use since the last Demands
+
+	latency   float64 // seconds
+	latencyAt time.Time
+	refusedAt time.Time
+
+	failures   int // in a row
+	ejections  int // in a row
+	ejectUntil time.Time
+}
+
+// list takes over an entry of the instance list, unless newer knowledge is present.
+func (s *server) list(b Backend) {
+	if b.Incarnation < s.Incarnation {
+		return
+	}
+	if b.Incarnation > s.Incarnation {
+		s.restarted(b.Incarnation)
+	}
+	if b.Address != s.Address {
+		go s.links.retire()
+	}
+	s.Backend, s.listedState = b, b.State
+}
+
+// restarted forgets what was known of the server's earlier incarnation.
+func (s *server) restarted(incarnation int64) {
+	s.Incarnation = incarnation
+	s.selfMarked = false
+	s.listedState = Live
+	s.failures, s.ejections, s.ejectUntil = 0, 0, time.Time{}
+	s.latency = 0
+	go s.links.retire()
+}
+
+func (s *server) gone() bool {
+	return s.listedState == Gone
+}
+
+func (s *server) leaving() bool {
+	return s.selfMarked || s.listedState == Leaving || s.listedState == Gone
+}
+
+// limit returns the slots that this instance may use now.
+func (s *server) limit(now time.Time, peers int) int {
+	n := baseShare(s.Slots, peers)
+	if now.Before(s.grantEnd) {
+		n += s.granted
+	}
+	return min(n, s.Slots)
+}
+
+// cost is Peak-EWMA latency times (outstanding+1), in seconds.
+func (s *server) cost(now time.Time) float64 {
+	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/latencyDecay.Seconds())
+	if now.Sub(s.refusedAt) < refusalPause {
+		latency += refusalCost.Seconds()
+	}
+	return max(latency, minLatency.Seconds()) * float64(s.used+1)
+}
+
+// observe adds a latency to the average; a peak replaces it at once.
+func (s *server) observe(now time.Time, d time.Duration) {
+	x := d.Seconds()
+	w := math.Exp(-now.Sub(s.latencyAt).Seconds() / latencyDecay.Seconds())
+	s.latency = max(x, s.latency*w+x*(1-w))
+	s.latencyAt = now
+}
+
+// succeeded ends a row of failures.
+func (s *server) succeeded() {
+	s.failures, s.ejections = 0, 0
+}
+
+// failed counts a failure and reports whether it ejected the server.
+func (s *server) failed(now time.Time) bool {
+	s.failures++
+	if s.failures < ejectAfter || now.Before(s.ejectUntil) || !s.router.mayEjectLocked(now) {
+		return false
+	}
+	d := min(minEject<<min(s.ejections, 6), maxEject)
+	s.ejectUntil = now.Add(d)
+	s.ejections++
+	s.router.stats.Ejections++
+	time.AfterFunc(d, s.router.signal)
+	return true
+}
+
+func (s *server) status(now time.Time, peers int, ejected bool) Status {
+	st := Status{
+		Backend: s.Backend, Base: baseShare(s.Slots, peers), Used: s.used,
+		Ejected: ejected, SelfMarked: s.selfMarked, Failures: s.failures,
+		LatencyMs: s.latency * 1000,
+	}
+	if now.Before(s.grantEnd) {
+		st.Granted = s.granted
+	}
+	return st
+}
