Add stand-ins for platform, worker and backend server, and the fence

Cause: the other modules need something to talk to that follows the protocol of docs/design.md, section 11. Measured: one test for each stand-in passes with -race; lint has no issues. Conclusion: usable by other packages; faults, limits and the fence have no tests yet.

--- /dev/null
+++ b/internal/work/faults.go
@@ -0,0 +1,77 @@
+package work
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/daisyrack/daisyrack/internal/plat"
+)
+
+// Faults are the faults in force; the zero value means none.
+type Faults struct {
+	// FailStarts lets every task fail as soon as it has started.
+	FailStarts bool `json:"fail_starts"`
+	// Frozen holds every call until it is lifted and carries it out then, even if the caller
+	// has given up; tasks and the fence go on.
+	Frozen bool `json:"frozen"`
+	// SlowMs delays every call; it is carried out after the delay even if the caller has given up.
+	SlowMs int64 `json:"slow_ms"`
+	// UsageDelayMs is the age that a task needs before its usage is reported; 0 means 2,000.
+	UsageDelayMs int64 `json:"usage_delay_ms"`
+	// UsageFactor multiplies the true usage; 0 means 1.
+	UsageFactor float64 `json:"usage_factor"`
+	// Crash drops all tasks and begins a new incarnation, once.
+	Crash bool `json:"crash"`
+}
+
+func (f Faults) usageDelay() time.Duration {
+	if f.UsageDelayMs > 0 {
+		return time.Duration(f.UsageDelayMs) * time.Millisecond
+	}
+	return defaultUsageDelay
+}
+
+func (f Faults) usageFactor() float64 {
+	if f.UsageFactor > 0 {
+		return f.UsageFactor
+	}
+	return 1
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.once.Do(s.start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Frozen && !f.Frozen {
+		close(s.thawed)
+	}
+	if !s.faults.Frozen && f.Frozen {
+		s.thawed = make(chan struct{})
+	}
+	if f.Crash {
+		s.crash()
+	}
+	f.Crash = false
+	s.faults = f
+}
+
+func (s *Server) crash() {
+	now := s.advance()
+	for _, t := range s.tasks {
+		if t.State == Running {
+			s.end(t, now, endCrashed)
+		}
+	}
+	s.restart(now)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := plat.ReadJSON(w, r, &f); err != nil {
+		plat.WriteJSON(w, http.StatusBadRequest, plat.Problem{Error: "faults: " + err.Error()})
+		return
+	}
+	s.SetFaults(f)
+	plat.WriteJSON(w, http.StatusOK, f)
+}
