--- /dev/null
+++ b/pkg/once/end.go
@@ -0,0 +1,154 @@
+package once
+
+import (
+	"context"
+
+	"github.com/daisyrack/daisyrack/pkg/table"
+)
+
+// Finish records the answer of a claimed request. From then on repeats get it, from memory on
+// this instance, and elsewhere as soon as the store has it.
+func (r *Register) Finish(ctx context.Context, claim Claim, answer Answer) {
+	own := claim.entry
+	if own == nil || !r.record(own, answer) {
+		return
+	}
+	if !r.write(ctx, own) {
+		r.later(own, r.write)
+	}
+}
+
+// record keeps the answer in memory; false means that the claim has ended already.
+func (r *Register) record(own *entry, answer Answer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own.closed || own.state != live {
+		return false
+	}
+	own.state = recorded
+	own.answer = answer
+	own.answered = true
+	own.close()
+	for _, oldest := range r.recent.keep(own, r.results(), r.resultBytes()) {
+		if r.entries[oldest.rowKey] == oldest {
+			delete(r.entries, oldest.rowKey)
+		}
+	}
+	return true
+}
+
+// write puts the answer into the row; false means that it has to be tried again.
+func (r *Register) write(ctx context.Context, own *entry) bool {
+	value := record{
+		State:       stateDone,
+		Holder:      r.Holder,
+		Nonce:       own.nonce,
+		BodyHash:    own.bodyHash,
+		ClaimedMS:   r.now().UnixMilli(),
+		Status:      own.answer.Status,
+		ContentType: own.answer.ContentType,
+		Body:        own.answer.Body,
+	}
+	if len(value.Body) > InlineBytes {
+		sealed := table.Seal(objectKind, own.version, value.Body)
+		if r.PutObject(ctx, own.rowKey, sealed) != nil {
+			return false
+		}
+		value.Body, value.ObjectVersion = nil, own.version
+	}
+	res := r.Do(ctx, table.Write{
+		Checks: []table.Check{own.check()},
+		Puts:   []table.Put{{Key: own.rowKey, Value: value.encode()}},
+	})
+	// A conflict means that an earlier try took effect, or that the row was swept.
+	return res.Outcome == table.Committed || res.Outcome == table.Conflict
+}
+
+// Withdraw gives up a claim whose request certainly did not run, so that the key can be used
+// again. If the store is down, the row is deleted in the background, and until then a repeat
+// gets MayHaveRun.
+func (r *Register) Withdraw(ctx context.Context, claim Claim) {
+	own := claim.entry
+	if own == nil || !r.withdrawing(own) {
+		return
+	}
+	if !r.remove(ctx, own) {
+		r.later(own, r.remove)
+	}
+}
+
+// Abandon gives up a claim whose request may have run but has no answer. Its row stays claimed,
+// so that every repeat gets MayHaveRun.
+func (r *Register) Abandon(claim Claim) {
+	own := claim.entry
+	if own == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own.state == live {
+		r.forget(own)
+	}
+}
+
+func (r *Register) withdrawing(own *entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own.closed || own.state != live {
+		return false
+	}
+	own.state = withdrawing
+	own.close()
+	return true
+}
+
+// remove deletes the row of a claim; false means that it has to be tried again.
+func (r *Register) remove(ctx context.Context, own *entry) bool {
+	res := r.Do(ctx, table.Write{
+		Checks:  []table.Check{own.check()},
+		Deletes: []string{own.rowKey},
+	})
+	if res.Outcome != table.Committed && res.Outcome != table.Conflict {
+		return false
+	}
+	r.leave(own)
+	return true
+}
+
+// removeLater deletes, in the background, the row of a claim whose commit stayed unknown.
+func (r *Register) removeLater(own *entry) {
+	if r.withdrawing(own) {
+		r.later(own, r.removeUnknown)
+	}
+}
+
+// removeUnknown deletes the row of a claim of which it is not known whether it exists.
+func (r *Register) removeUnknown(ctx context.Context, own *entry) bool {
+	row, exists, err := r.Row(ctx, own.rowKey)
+	if err != nil {
+		return false
+	}
+	if exists {
+		found, err := decode(row)
+		if err == nil && found.Nonce == own.nonce {
+			own.version = row.Version
+			return r.remove(ctx, own)
+		}
+	}
+	r.leave(own)
+	return true
+}
+
+func (r *Register) results() int {
+	if r.Results > 0 {
+		return r.Results
+	}
+	return DefaultResults
+}
+
+func (r *Register) resultBytes() int {
+	if r.ResultBytes > 0 {
+		return r.ResultBytes
+	}
+	return DefaultResultBytes
+}
--- /dev/null
+++ b/pkg/once/record.go
@@ -0,0 +1,65 @@
+package once
+
+import (
+	"encoding/json"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisyrack/daisyrack/pkg/table"
+)
+
+const (
+	rowPrefix  = "once/"
+	objectKind = "once"
+
+	// InlineBytes is the largest body that is kept in the row itself.
+	InlineBytes = 16 << 10
+
+	stateClaimed = "claimed"
+	stateDone    = "done"
+)
+
+// record is the value of the row once/<user>/<key>.
+type record struct {
+	State       string `json:"state"`
+	Holder      string `json:"holder"`
+	Nonce       string `json:"nonce"`
+	BodyHash    uint64 `json:"body_hash"`
+	ClaimedMS   int64  `json:"claimed_ms"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+
+	// ObjectVersion is the version of the object that holds the body; 0 means that Body does.
+	ObjectVersion int64 `json:"object_version,omitempty"`
+}
+
+func (r record) encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(errors.Wrap(err, "once: unable to encode row"))
+	}
+	return b
+}
+
+func decode(row table.Row) (record, error) {
+	var r record
+	err := json.Unmarshal(row.Value, &r)
+	return r, errors.Wrapf(err, "once: unable to decode row %q", row.Key)
+}
+
+// rowKey is also the name of the object that holds a large body.
+func rowKey(user, key string) string {
+	return rowPrefix + segment(user) + "/" + segment(key)
+}
+
+// segment escapes a name, so that no two pairs of user and key share a row, and that no part
+// of the key changes the path of an object.
+func segment(name string) string {
+	if strings.Trim(name, ".") == "" {
+		return strings.ReplaceAll(name, ".", "%2E")
+	}
+	return url.PathEscape(name)
+}
--- /dev/null
+++ b/pkg/table/client.go
@@ -0,0 +1,144 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// DefaultTimeout bounds one HTTP call.
+	DefaultTimeout = 2 * time.Second
+
+	// maxAnswerBytes bounds what is read of one answer.
+	maxAnswerBytes = 64 << 20
+
+	domainHeader = "Daisyrack-Failure-Domain"
+)
+
+// Client calls the platform; set the fields before the first call. All methods may be called
+// concurrently.
+type Client struct {
+	// BaseURL is the platform's address, for example "http://10.0.0.1:7000".
+	BaseURL string
+
+	// FailureDomain is the caller's own failure domain.
+	FailureDomain string
+
+	// HTTP makes the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+
+	// Timeout bounds each HTTP call; 0 means DefaultTimeout.
+	Timeout time.Duration
+
+	// Calls counts HTTP calls.
+	Calls atomic.Int64
+
+	// LostAnswers counts commits whose first answer was lost.
+	LostAnswers atomic.Int64
+
+	// Resolved counts lost answers whose outcome was found out.
+	Resolved atomic.Int64
+
+	// Repeats counts transactions that were sent again because their token was unknown.
+	Repeats atomic.Int64
+}
+
+// call makes one HTTP call and reads the whole answer.
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Mark(errors.Wrapf(err, "table: unable to build %s %s", method, path), errNotSent)
+	}
+	// Without GetBody the transport can't send a request a second time on its own.
+	req.GetBody = nil
+	req.Header.Set(domainHeader, c.FailureDomain)
+	if method == http.MethodPost {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	c.Calls.Add(1)
+	res, err := c.client().Do(req)
+	if err != nil {
+		return 0, nil, callError(err, method, path)
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "table: unable to read the answer to %s %s", method, path)
+	}
+	if len(answer) > maxAnswerBytes {
+		return 0, nil, errors.Newf("table: answer to %s %s exceeds %d bytes", method, path, maxAnswerBytes)
+	}
+	return res.StatusCode, answer, nil
+}
+
+// errNotSent marks calls of which no byte was sent.
+var errNotSent = errors.New("table: not sent")
+
+func callError(err error, method, path string) error {
+	wrapped := errors.Wrapf(err, "table: unable to call %s %s", method, path)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Mark(wrapped, errNotSent)
+	}
+	return wrapped
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return DefaultTimeout
+}
+
+// read decodes the answer to a GET into v; false means that there is no such thing.
+func (c *Client) read(ctx context.Context, path string, v any) (bool, error) {
+	status, answer, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return false, err
+	}
+	switch status {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return false, nil
+	default:
+		return false, statusError(status, http.MethodGet, path, answer)
+	}
+	if err := json.Unmarshal(answer, v); err != nil {
+		return false, errors.Wrapf(err, "table: unable to decode the answer to GET %s", path)
+	}
+	return true, nil
+}
+
+func statusError(status int, method, path string, answer []byte) error {
+	const shown = 200
+	if len(answer) > shown {
+		answer = answer[:shown]
+	}
+	return errors.Newf("table: %s %s answered with status %d: %s", method, path, status, answer)
+}
+
+// Row reads one row; false means that it does not exist.
+func (c *Client) Row(ctx context.Context, key string) (Row, bool, error) {
+	var row Row
+	found, err := c.read(ctx, "/v1/table/row?key="+url.QueryEscape(key), &row)
+	return row, found, err
+}
--- /dev/null
+++ b/pkg/table/instance.go
@@ -0,0 +1,27 @@
+package table
+
+import "context"
+
+// Instance is one element of the platform's instance list.
+type Instance struct {
+	Name          string `json:"name"`
+	Role          string `json:"role"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+	State         string `json:"state"`
+	Incarnation   int64  `json:"incarnation"`
+}
+
+// InstanceList is the platform's instance list, which lags behind; AsOfMS says as of when.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+	AsOfMS    int64      `json:"as_of_ms"`
+}
+
+// Instances reads the instance list.
+func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
+	var list InstanceList
+	_, err := c.read(ctx, "/v1/instances", &list)
+	return list, err
+}
--- /dev/null
+++ b/pkg/table/object.go
@@ -0,0 +1,58 @@
+package table
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+)
+
+// PutObject stores an object.
+func (c *Client) PutObject(ctx context.Context, name string, b []byte) error {
+	path := objectPath(name)
+	status, answer, err := c.call(ctx, http.MethodPut, path, b)
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 {
+		return statusError(status, http.MethodPut, path, answer)
+	}
+	return nil
+}
+
+// Object reads an object; false means that it does not exist.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, bool, error) {
+	path := objectPath(name)
+	status, answer, err := c.call(ctx, http.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return nil, false, err
+	case status == http.StatusOK:
+		return answer, true, nil
+	case status == http.StatusNotFound:
+		return nil, false, nil
+	}
+	return nil, false, statusError(status, http.MethodGet, path, answer)
+}
+
+// DeleteObject deletes an object; it is no error if the object does not exist.
+func (c *Client) DeleteObject(ctx context.Context, name string) error {
+	path := objectPath(name)
+	status, answer, err := c.call(ctx, http.MethodDelete, path, nil)
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 && status != http.StatusNotFound {
+		return statusError(status, http.MethodDelete, path, answer)
+	}
+	return nil
+}
+
+// objectPath escapes each segment of a name and keeps the slashes between them.
+func objectPath(name string) string {
+	segments := strings.Split(name, "/")
+	for i, segment := range segments {
+		segments[i] = url.PathEscape(segment)
+	}
+	return "/v1/objects/" + strings.Join(segments, "/")
+}
