--- /dev/null
+++ b/cmd/daisyrack/main.go
@@ -0,0 +1,76 @@
+// Command daisyrack is the cluster scheduler: entry instances, stand-ins for a
+// trial, and the operators' commands.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitFaulty = 2
+	exitNo     = 3
+)
+
+// statusError ends the program with a status of its own.
+type statusError struct {
+	status int
+	text   string
+}
+
+// Error returns the text for the operator.
+func (e *statusError) Error() string {
+	return e.text
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args))
+}
+
+// run runs one command and returns the exit status.
+func run(ctx context.Context, args []string) int {
+	err := newCommand().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	if text := err.Error(); text != "" {
+		fmt.Fprintln(os.Stderr, "daisyrack: "+text)
+	}
+	var status *statusError
+	if errors.As(err, &status) {
+		return status.status
+	}
+	return exitFailed
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "daisyrack",
+		Usage:                 "cluster scheduler for unlike workloads",
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			entryCommand(),
+			devCommand(),
+			standinCommand(),
+			checkCommand(),
+			publishCommand(),
+			submitCommand(),
+			cancelCommand(),
+			statusCommand(),
+			timelineCommand(),
+			schemaCommand(),
+			versionCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/internal/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent is the client of the worker protocol.
+package agent
--- /dev/null
+++ b/internal/agent/message.go
@@ -0,0 +1,95 @@
+package agent
+
+import "encoding/json"
+
+// Resources are what a task needs or a worker has.
+type Resources struct {
+	CPUMillis    int64 `json:"cpu_millis"`
+	MemoryMB     int64 `json:"memory_mb"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// States of a task at its worker.
+const (
+	Running   = "running"
+	Succeeded = "succeeded"
+	Failed    = "failed"
+	Stopped   = "stopped"
+)
+
+// Task is a worker's report of one task.
+type Task struct {
+	ID           string    `json:"id"`
+	Attempt      int64     `json:"attempt"`
+	Job          string    `json:"job"`
+	Class        string    `json:"class"`
+	Resources    Resources `json:"resources"`
+	OnCutOff     string    `json:"on_cut_off"`
+	State        string    `json:"state"`
+	StartedMS    int64     `json:"started_ms"`
+	EndedMS      int64     `json:"ended_ms"`
+	CheckpointMS int64     `json:"checkpoint_ms"`
+	Usage        Resources `json:"usage"`
+}
+
+// Start asks a worker to run a task.
+type Start struct {
+	ID        string          `json:"id"`
+	Attempt   int64           `json:"attempt"`
+	Job       string          `json:"job"`
+	Class     string          `json:"class"`
+	Resources Resources       `json:"resources"`
+	OnCutOff  string          `json:"on_cut_off"`
+	RunMS     int64           `json:"run_ms"`
+	Payload   json.RawMessage `json:"payload,omitempty"`
+}
+
+// Throttle bounds the processor time of a task.
+type Throttle struct {
+	ID        string `json:"id"`
+	CPUMillis int64  `json:"cpu_millis"`
+}
+
+// Claim asks a worker to obey only owners of this epoch or a later one.
+type Claim struct {
+	Owner string `json:"owner"`
+	Epoch int64  `json:"epoch"`
+	// Sequence grows with each call of the owner to this worker.
+	Sequence int64 `json:"sequence"`
+}
+
+// Claimed is a worker's answer to a Claim that it accepted.
+type Claimed struct {
+	Incarnation int64     `json:"incarnation"`
+	ClockMS     int64     `json:"clock_ms"`
+	Capacity    Resources `json:"capacity"`
+	Tasks       []Task    `json:"tasks"`
+}
+
+// Sync carries commands to a worker and renews its claim up to BaseMS.
+type Sync struct {
+	Owner       string     `json:"owner"`
+	Epoch       int64      `json:"epoch"`
+	Sequence    int64      `json:"sequence"`
+	BaseMS      int64      `json:"base_ms"`
+	Starts      []Start    `json:"starts,omitempty"`
+	Stops       []string   `json:"stops,omitempty"`
+	Checkpoints []string   `json:"checkpoints,omitempty"`
+	Throttles   []Throttle `json:"throttles,omitempty"`
+	Forgets     []string   `json:"forgets,omitempty"`
+}
+
+// Started tells whether a worker accepted a start.
+type Started struct {
+	ID       string `json:"id"`
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason"`
+}
+
+// Synced is a worker's answer to a Sync that it accepted.
+type Synced struct {
+	Incarnation int64     `json:"incarnation"`
+	ClockMS     int64     `json:"clock_ms"`
+	Starts      []Started `json:"starts"`
+	Tasks       []Task    `json:"tasks"`
+}
--- /dev/null
+++ b/internal/entry/app.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/daisyrack/daisyrack/internal/setup"
+	"github.com/daisyrack/daisyrack/pkg/event"
+	"github.com/daisyrack/daisyrack/pkg/peer"
+)
+
+const (
+	startTimeout = 10 * time.Second
+
+	// stopMargin is added to the time for requests in progress, for the other duties.
+	stopMargin = 15 * time.Second
+
+	// farewellLimit bounds the leave message to the others.
+	farewellLimit = time.Second
+
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// App is an entry instance as an application with a life cycle.
+type App struct {
+	Node *Node
+	fx   *fx.App
+}
+
+// New returns an entry instance that listens but has not started.
+func New(settings setup.Entry, logger log.Interface) (*App, error) {
+	a := &App{}
+	a.fx = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(settings, fx.Annotate(logger, fx.As(new(log.Interface)))),
+		fx.Provide(NewNode),
+		fx.Invoke(register),
+		fx.Populate(&a.Node),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(settings.Drain()+stopMargin),
+	)
+	return a, errors.Wrap(a.fx.Err(), "entry: unable to assemble instance")
+}
+
+// Start starts all duties.
+func (a *App) Start(ctx context.Context) error {
+	return a.fx.Start(ctx)
+}
+
+// Stop drains the instance: requests in progress finish, leases are handed over.
+func (a *App) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.fx.StopTimeout())
+	defer cancel()
+	return a.fx.Stop(ctx)
+}
+
+// register adds the duties in the order in which they start; they stop in the
+// reverse order, so that a duty ends after those that need it.
+func register(lc fx.Lifecycle, n *Node) {
+	server := &peer.Server{Handle: n.answer}
+	addDuty(lc, n, "group commit", n.Group.Run)
+	addDuty(lc, n, "peer server", func(ctx context.Context) error {
+		return server.Serve(ctx, n.security.listener(n.peerListener))
+	})
+	addDuty(lc, n, "membership", n.runMembers)
+	addDuty(lc, n, "instance list", n.runList)
+	addDuty(lc, n, "configuration", n.Watcher.Run)
+	addDuty(lc, n, "lease", n.Keeper.Run)
+	addDuty(lc, n, "owner", n.Owner.Run)
+	addDuty(lc, n, "routing", n.Router.Run)
+	addDuty(lc, n, "dispatch", n.Queue.Run)
+	addDuty(lc, n, "sweep", n.runSweep)
+	addHTTP(lc, n)
+}
+
+// addDuty runs a goroutine from the start to the stop of the application.
+func addDuty(lc fx.Lifecycle, n *Node, name string, run func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				if err := run(ctx); err != nil {
+					n.Log.WithField("duty", name).WithError(err).Error("duty ended")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-done:
+				return nil
+			case <-stop.Done():
+				return errors.Newf("entry: duty %s did not end in time", name)
+			}
+		},
+	})
+}
+
+// addHTTP serves callers and operators; on stop requests in progress finish.
+func addHTTP(lc fx.Lifecycle, n *Node) {
+	server := &http.Server{
+		Handler:           n.Front.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return context.Background() },
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			n.record(event.Event{Kind: event.InstanceStarted})
+			go func() {
+				if err := server.Serve(n.httpListener); !errors.Is(err, http.ErrServerClosed) {
+					n.Log.WithError(err).Error("HTTP server ended")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			n.startDraining()
+			ctx, cancel := context.WithTimeout(stop, n.Settings.Drain())
+			defer cancel()
+			err := server.Shutdown(ctx)
+			_ = n.Router.Drain(ctx)
+			n.Once.Drain(ctx)
+			return errors.Wrap(err, "entry: requests in progress did not finish")
+		},
+	})
+}
+
+func (n *Node) startDraining() {
+	n.draining.Store(true)
+	n.members.leave()
+	n.record(event.Event{Kind: event.DrainStarted})
+	n.Log.Info("draining")
+}
+
+// runMembers sends heartbeats; at the end it says farewell.
+func (n *Node) runMembers(ctx context.Context) error {
+	err := n.members.run(ctx)
+	bye, cancel := context.WithTimeout(context.WithoutCancel(ctx), farewellLimit)
+	defer cancel()
+	n.members.farewell(bye)
+	n.Peers.Close()
+	return err
+}
+
+// sweepInterval is how often old at-most-once rows are looked for.
+const sweepInterval = 10 * time.Minute
+
+// runSweep deletes old at-most-once rows; only the owner does, so that the
+// instances do not do the same work.
+func (n *Node) runSweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if n.Owner.Epoch() == 0 {
+			continue
+		}
+		if _, err := n.Once.Sweep(ctx, time.Now()); err != nil {
+			n.Log.WithError(err).Debug("old claims not deleted")
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/daisyrack/daisyrack/pkg/event"
+	"github.com/daisyrack/daisyrack/pkg/member"
+	"github.com/daisyrack/daisyrack/pkg/peer"
+	"github.com/daisyrack/daisyrack/pkg/wire"
+)
+
+const (
+	// beatInterval is how often it is checked which heartbeats are due.
+	beatInterval = 50 * time.Millisecond
+
+	// beatTimeout bounds one heartbeat.
+	beatTimeout = time.Second
+
+	// maxBeats bounds the heartbeats in progress.
+	maxBeats = 128
+
+	// mirrorBatch bounds the events of one heartbeat.
+	mirrorBatch = 256
+)
+
+// members guards the membership view, which one goroutine may use at a time.
+type members struct {
+	node  *Node
+	beats chan struct{}
+
+	mu     sync.Mutex
+	view   member.View
+	states map[string]string
+	// sent is the last event that the mirroring peer has.
+	sent   uint64
+	sentTo string
+}
+
+func (n *Node) buildMembers() {
+	n.Peers = &peer.Client{Dial: n.security.dial}
+	n.members = &members{node: n, beats: make(chan struct{}, maxBeats), states: make(map[string]string)}
+	n.members.view.Self = member.Member{
+		Name:          n.Settings.Name,
+		Address:       n.PeerAddress(),
+		HTTPAddress:   n.HTTPAddress(),
+		FailureDomain: n.Settings.FailureDomain,
+		State:         member.StateLive,
+		Incarnation:   n.Incarnation,
+	}
+}
+
+// addresses returns where to find other instances: those known and those of the settings.
+func (m *members) addresses() []string {
+	list := append([]string(nil), m.node.Settings.Peers...)
+	for _, s := range m.list(time.Now()) {
+		if s.Name != m.node.Settings.Name && s.State != member.StateGone {
+			list = append(list, s.Address)
+		}
+	}
+	return list
+}
+
+func (m *members) list(now time.Time) []member.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Members(now)
+}
+
+func (m *members) live(now time.Time, domain string) []member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Live(now, domain)
+}
+
+func (m *members) owner(now time.Time, domain string) (member.Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Owner(now, domain)
+}
+
+func (m *members) listed(now time.Time, entries []member.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Listed(now, entries)
+}
+
+// self returns this instance as others are to see it.
+func (m *members) self() member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Self.ConfigRevision = m.node.Config.Current().Revision
+	m.view.Self.OwnedEpoch = m.node.Owner.Epoch()
+	return m.view.Self
+}
+
+func (m *members) leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Leave()
+}
+
+// run sends the heartbeats that are due and notices changes.
+func (m *members) run(ctx context.Context) error {
+	tick := time.NewTicker(beatInterval)
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	m.greet(ctx, &wg)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		self := m.self()
+		now := time.Now()
+		for _, target := range m.due(now) {
+			m.beat(ctx, &wg, target, self)
+		}
+		m.notice(now)
+		m.node.lender.borrow(now)
+	}
+}
+
+// greet calls the addresses of the settings, whose names are not known yet.
+func (m *members) greet(ctx context.Context, wg *sync.WaitGroup) {
+	self := m.self()
+	for _, address := range m.node.Settings.Peers {
+		m.beat(ctx, wg, member.Member{Address: address}, self)
+	}
+}
+
+func (m *members) due(now time.Time) []member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Targets(now)
+}
+
+// beat sends one heartbeat; above the bound it counts as missed.
+func (m *members) beat(ctx context.Context, wg *sync.WaitGroup, target, self member.Member) {
+	select {
+	case m.beats <- struct{}{}:
+	default:
+		m.missed(target)
+		return
+	}
+	wg.Go(func() {
+		defer func() { <-m.beats }()
+		m.exchange(ctx, target, self)
+	})
+}
+
+func (m *members) missed(target member.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Missed(time.Now(), target.Name)
+}
+
+func (m *members) exchange(ctx context.Context, target, self member.Member) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	msg := &wire.Heartbeat{Sender: toWire(self), HybridTime: m.node.Clock.Now()}
+	if target.FailureDomain == self.FailureDomain {
+		msg.Demands = demandsToWire(m.node.Router.Demands())
+	}
+	events := m.toMirror(target.Name)
+	msg.Events = eventsToWire(events)
+	sentAt := time.Now()
+	res, outcome, err := m.node.Peers.Call(ctx, target.Address, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: msg}})
+	reply := res.GetHeartbeat()
+	if err != nil || outcome != peer.Answered || reply == nil {
+		m.missed(target)
+		return
+	}
+	now := time.Now()
+	if len(events) > 0 {
+		m.mirrored(target.Name, events[len(events)-1].Sequence)
+	}
+	m.node.Clock.Observe(reply.GetHybridTime())
+	m.heard(now, fromWire(reply.GetSender()), now.Sub(sentAt))
+	m.learn(now, reply.GetMembers())
+	if grants := reply.GetGrants(); len(grants) > 0 {
+		m.node.Router.Grants(now, grantsFromWire(grants))
+	}
+}
+
+func (m *members) heard(now time.Time, other member.Member, rtt time.Duration) {
+	m.mu.Lock()
+	m.view.Heard(now, other, rtt)
+	m.mu.Unlock()
+	m.node.Watcher.Notice(other.Address, other.ConfigRevision)
+}
+
+func (m *members) learn(now time.Time, others []*wire.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range others {
+		m.view.Learned(now, fromWire(o))
+	}
+}
+
+// mirror returns the next instance of the failure domain, which keeps copies of
+// this instance's events.
+func (m *members) mirror(now time.Time) string {
+	first, next := "", ""
+	for _, o := range m.view.Live(now, m.view.Self.FailureDomain) {
+		if o.Name == m.view.Self.Name {
+			continue
+		}
+		if first == "" {
+			first = o.Name
+		}
+		if next == "" && o.Name > m.view.Self.Name {
+			next = o.Name
+		}
+	}
+	if next != "" {
+		return next
+	}
+	return first
+}
+
+// toMirror returns the events that go with a heartbeat to the mirroring instance.
+func (m *members) toMirror(target string) []event.Event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if target == "" || m.mirror(time.Now()) != target {
+		return nil
+	}
+	if m.sentTo != target {
+		m.sentTo = target
+		m.sent = 0
+	}
+	return m.node.Ring.After(m.sent, mirrorBatch)
+}
+
+func (m *members) mirrored(target string, sequence uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sentTo == target {
+		m.sent = max(m.sent, sequence)
+	}
+}
+
+// notice records changes of the other instances' states.
+func (m *members) notice(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.view.Members(now) {
+		if m.states[s.Name] == s.State {
+			continue
+		}
+		m.states[s.Name] = s.State
+		m.node.record(event.Event{Kind: event.MemberChanged, Detail: s.Name + " " + s.State})
+		m.node.Log.WithField("member", s.Name).WithField("state", s.State).Info("member changed")
+	}
+	m.node.Router.SetPeers(m.peers(now))
+}
+
+// peers counts the entry instances of the failure domain that may hold shares.
+func (m *members) peers(now time.Time) int {
+	n := 1
+	for _, s := range m.view.Members(now) {
+		if s.FailureDomain == m.view.Self.FailureDomain && s.Name != m.view.Self.Name && s.State != member.StateGone {
+			n++
+		}
+	}
+	return n
+}
+
+// farewell tells the others that this instance has ended.
+func (m *members) farewell(ctx context.Context) {
+	self := m.self()
+	self.State = member.StateGone
+	self.OwnedEpoch = 0
+	var wg sync.WaitGroup
+	for _, s := range m.list(time.Now()) {
+		if s.Name != self.Name && s.FailureDomain == self.FailureDomain && s.State != member.StateGone {
+			m.beat(ctx, &wg, s.Member, self)
+		}
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/entry/security.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisyrack/daisyrack/internal/setup"
+)
+
+// security gives the connections between instances mutual authentication. The
+// files are read for each handshake, so that new certificates need no restart;
+// handshakes are rare, since instances keep their connections.
+type security struct {
+	files *setup.TLS
+}
+
+// newSecurity checks the files once, so that a wrong setting is found at the start.
+func newSecurity(files *setup.TLS) (*security, error) {
+	s := &security{files: files}
+	if files == nil {
+		return s, nil
+	}
+	_, err := s.config()
+	return s, err
+}
+
+func (s *security) config() (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(s.files.CertificateFile, s.files.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry: unable to load certificate")
+	}
+	text, err := os.ReadFile(s.files.AuthorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry: unable to read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Newf("entry: no certificate in authority file %s", s.files.AuthorityFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// listener wraps l when certificates are set.
+func (s *security) listener(l net.Listener) net.Listener {
+	if s.files == nil {
+		return l
+	}
+	return tls.NewListener(l, &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return s.config()
+		},
+	})
+}
+
+// dial opens a connection to another instance.
+func (s *security) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	if s.files == nil {
+		return d.DialContext(ctx, "tcp", address)
+	}
+	cfg, err := s.config()
+	if err != nil {
+		return nil, err
+	}
+	return (&tls.Dialer{NetDialer: &d, Config: cfg}).DialContext(ctx, "tcp", address)
+}
+
+// operatorToken returns the token that changes must carry, or "".
+func (n *Node) operatorToken() (string, error) {
+	if n.Settings.OperatorToken == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(n.Settings.OperatorToken)
+	if err != nil {
+		return "", errors.Wrap(err, "entry: unable to read operators' token")
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		return "", errors.New("entry: the operators' token is empty")
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/sched/record.go
@@ -0,0 +1,105 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/bits"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisyrack/daisyrack/pkg/config"
+)
+
+// Kinds of events that only the owner duty knows.
+const (
+	termRecovered = "term_recovered"
+	taskLost      = "task_lost"
+)
+
+// States of a job.
+const (
+	JobAccepted   = "accepted"
+	JobFinished   = "finished"
+	JobFailed     = "failed"
+	JobCancelled  = "cancelled"
+	JobImpossible = "impossible"
+)
+
+// Record is the row of a job in the table.
+type Record struct {
+	Job        config.Job `json:"job"`
+	Version    int64      `json:"version"`
+	State      string     `json:"state"`
+	Reason     string     `json:"reason,omitempty"`
+	Done       []byte     `json:"done,omitempty"`
+	Failures   int        `json:"failures,omitempty"`
+	Author     string     `json:"author,omitempty"`
+	Document   bool       `json:"document,omitempty"`
+	AcceptedMS int64      `json:"accepted_ms"`
+	EndedMS    int64      `json:"ended_ms,omitempty"`
+}
+
+// Ended tells whether the job has reached its last state.
+func (r *Record) Ended() bool {
+	switch r.State {
+	case JobFinished, JobFailed, JobCancelled:
+		return true
+	}
+	return false
+}
+
+// IsDone tells whether the task with this index has succeeded.
+func (r *Record) IsDone(index int) bool {
+	return index/8 < len(r.Done) && r.Done[index/8]&(1<<(index%8)) != 0
+}
+
+// SetDone notes that the task with this index has succeeded.
+func (r *Record) SetDone(index int) {
+	for len(r.Done) <= index/8 {
+		r.Done = append(r.Done, 0)
+	}
+	r.Done[index/8] |= 1 << (index % 8)
+}
+
+// DoneCount returns the number of tasks that have succeeded.
+func (r *Record) DoneCount() int {
+	n := 0
+	for _, b := range r.Done {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
+func jobPrefix(domain string) string {
+	return "job/" + domain + "/"
+}
+
+func jobKey(domain, name string) string {
+	return jobPrefix(domain) + name
+}
+
+func fleetKey(domain string) string {
+	return "fleet/" + domain
+}
+
+func encodeRecord(r *Record) ([]byte, error) {
+	text, err := json.Marshal(r)
+	return text, errors.Wrap(err, "sched: unable to encode job record")
+}
+
+func decodeRecord(key string, text []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, errors.Wrapf(err, "sched: unable to decode job record %s", key)
+	}
+	return &r, nil
+}
+
+// taskID names a task; a new version of a batch or all-at-once job has tasks of
+// its own, the replicas of a service keep their names.
+func taskID(r *Record, index int) string {
+	if r.Job.Kind == config.KindService {
+		return fmt.Sprintf("%s/%d", r.Job.Name, index)
+	}
+	return fmt.Sprintf("%s@%d/%d", r.Job.Name, r.Version, index)
+}
--- /dev/null
+++ b/internal/setup/entry.go
@@ -0,0 +1,89 @@
+package setup
+
+import (
+	"time"
+
+	"github.com/daisyrack/daisyrack/pkg/config"
+)
+
+const (
+	defaultWritesPerSecond = 10
+	defaultStoreTimeoutMS  = 2000
+	defaultDrainSeconds    = 30
+)
+
+// TLS names the files of an instance's certificate, its key and the trusted authority.
+type TLS struct {
+	CertificateFile string `json:"certificate_file"`
+	KeyFile         string `json:"key_file"`
+	AuthorityFile   string `json:"authority_file"`
+}
+
+// Entry holds the settings of an entry instance.
+type Entry struct {
+	Name            string   `json:"name"`
+	FailureDomain   string   `json:"failure_domain"`
+	FailureDomains  []string `json:"failure_domains"`
+	HTTPAddress     string   `json:"http_address"`
+	PeerAddress     string   `json:"peer_address"`
+	Platform        string   `json:"platform"`
+	Peers           []string `json:"peers,omitempty"`
+	WritesPerSecond float64  `json:"writes_per_second,omitempty"`
+	StoreTimeoutMS  int64    `json:"store_timeout_ms,omitempty"`
+	DrainSeconds    int64    `json:"drain_seconds,omitempty"`
+	LogLevel        string   `json:"log_level,omitempty"`
+	OperatorToken   string   `json:"operator_token_file,omitempty"`
+	TLS             *TLS     `json:"tls,omitempty"`
+}
+
+// WithDefaults returns the settings with their missing fields filled in.
+func (e Entry) WithDefaults() Entry {
+	if e.WritesPerSecond == 0 {
+		e.WritesPerSecond = defaultWritesPerSecond
+	}
+	if e.StoreTimeoutMS == 0 {
+		e.StoreTimeoutMS = defaultStoreTimeoutMS
+	}
+	if e.DrainSeconds == 0 {
+		e.DrainSeconds = defaultDrainSeconds
+	}
+	if e.LogLevel == "" {
+		e.LogLevel = "info"
+	}
+	return e
+}
+
+// StoreTimeout returns the time limit of one call to the platform.
+func (e Entry) StoreTimeout() time.Duration {
+	return time.Duration(e.StoreTimeoutMS) * time.Millisecond
+}
+
+// Drain returns the longest time that a graceful shutdown waits for requests.
+func (e Entry) Drain() time.Duration {
+	return time.Duration(e.DrainSeconds) * time.Second
+}
+
+// LoadEntry reads and checks the settings of an entry instance.
+func LoadEntry(file string) (Entry, []config.Fault, error) {
+	var e Entry
+	faults, err := load(KindEntry, file, &e)
+	if err != nil || len(faults) > 0 {
+		return e, faults, err
+	}
+	return e.WithDefaults(), e.faults(file), nil
+}
+
+// faults finds what the schema can not express.
+func (e Entry) faults(file string) []config.Fault {
+	for _, d := range e.FailureDomains {
+		if d == e.FailureDomain {
+			return nil
+		}
+	}
+	return []config.Fault{{
+		File:    file,
+		Field:   "failure_domain",
+		Value:   e.FailureDomain,
+		Allowed: "one of failure_domains",
+	}}
+}
--- /dev/null
+++ b/internal/setup/load.go
@@ -0,0 +1,62 @@
+package setup
+
+import (
+	"embed"
+	"encoding/json"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisyrack/daisyrack/pkg/config"
+)
+
+//go:embed schema/*.json
+var schemaFiles embed.FS
+
+// Kinds of settings files, one for each kind of process.
+const (
+	KindEntry    = "entry"
+	KindPlatform = "platform"
+	KindWorker   = "worker"
+	KindBackend  = "backend"
+)
+
+// Kinds lists the kinds of settings files.
+func Kinds() []string {
+	return []string{KindEntry, KindPlatform, KindWorker, KindBackend}
+}
+
+// Schema returns the JSON Schema of a kind of settings file.
+func Schema(kind string) ([]byte, bool) {
+	if !slices.Contains(Kinds(), kind) {
+		return nil, false
+	}
+	text, err := schemaFiles.ReadFile("schema/" + kind + ".json")
+	return text, err == nil
+}
+
+// load checks the file against the schema of kind and decodes it into v.
+func load(kind, file string, v any) ([]config.Fault, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "setup: unable to read settings")
+	}
+	return Decode(kind, file, text, v)
+}
+
+// Decode checks a settings text and decodes it into v; file is only named in faults.
+func Decode(kind, file string, text []byte, v any) ([]config.Fault, error) {
+	schema, ok := Schema(kind)
+	if !ok {
+		return nil, errors.Newf("setup: unknown kind of settings %q", kind)
+	}
+	checker, err := config.NewChecker(schema)
+	if err != nil {
+		return nil, err
+	}
+	if faults := checker.Check(file, text); len(faults) > 0 {
+		return faults, nil
+	}
+	return nil, errors.Wrap(json.Unmarshal(text, v), "setup: unable to decode settings")
+}
--- /dev/null
+++ b/internal/setup/standin.go
@@ -0,0 +1,55 @@
+package setup
+
+import "github.com/daisyrack/daisyrack/pkg/config"
+
+// Platform holds the settings of the platform's stand-in.
+type Platform struct {
+	Address         string  `json:"address"`
+	WritesPerSecond float64 `json:"writes_per_second,omitempty"`
+	ReadsPerSecond  float64 `json:"reads_per_second,omitempty"`
+	ListLagMS       int64   `json:"list_lag_ms,omitempty"`
+}
+
+// Worker holds the settings of a worker's stand-in.
+type Worker struct {
+	Name          string           `json:"name"`
+	FailureDomain string           `json:"failure_domain"`
+	Rack          string           `json:"rack"`
+	Address       string           `json:"address"`
+	Platform      string           `json:"platform"`
+	Capacity      config.Resources `json:"capacity"`
+	Seed          uint64           `json:"seed,omitempty"`
+}
+
+// Backend holds the settings of a backend server's stand-in.
+type Backend struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	Platform      string `json:"platform"`
+	Slots         int    `json:"slots"`
+	Connections   int    `json:"connections"`
+	ServiceMS     int64  `json:"service_ms,omitempty"`
+	Seed          uint64 `json:"seed,omitempty"`
+}
+
+// LoadPlatform reads and checks the settings of the platform's stand-in.
+func LoadPlatform(file string) (Platform, []config.Fault, error) {
+	var p Platform
+	faults, err := load(KindPlatform, file, &p)
+	return p, faults, err
+}
+
+// LoadWorker reads and checks the settings of a worker's stand-in.
+func LoadWorker(file string) (Worker, []config.Fault, error) {
+	var w Worker
+	faults, err := load(KindWorker, file, &w)
+	return w, faults, err
+}
+
+// LoadBackend reads and checks the settings of a backend server's stand-in.
+func LoadBackend(file string) (Backend, []config.Fault, error) {
+	var b Backend
+	faults, err := load(KindBackend, file, &b)
+	return b, faults, err
+}
--- /dev/null
+++ b/pkg/config/document.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxDocumentBytes bounds one document.
+	MaxDocumentBytes = 64 << 10
+
+	// MaxPublication bounds the documents of one publication, so that it fits
+	// one transaction of 128 rows.
+	MaxPublication = 60
+
+	// MaxPublicationBytes bounds the texts of one publication; a transaction
+	// holds 256 KB and carries each text twice, as document and as log entry.
+	MaxPublicationBytes = 110 << 10
+)
+
+// Document is one checked document.
+type Document struct {
+	File string          `json:"file,omitempty"`
+	Kind string          `json:"kind"`
+	Name string          `json:"name"`
+	Body json.RawMessage `json:"body"`
+}
+
+// ID returns the identity of the document; all job kinds share one name space.
+func (d Document) ID() string {
+	return documentID(d.Kind, d.Name)
+}
+
+func documentID(kind, name string) string {
+	if IsJobKind(kind) {
+		kind = "job"
+	}
+	return kind + "/" + name
+}
+
+var checkers = sync.OnceValue(func() map[string]*Checker {
+	m := make(map[string]*Checker)
+	for _, name := range []string{"job", KindRoute, KindLimits} {
+		text, _ := Schema(name)
+		c, err := NewChecker(text)
+		if err != nil {
+			panic(err) // The schemas are part of the program.
+		}
+		m[name] = c
+	}
+	return m
+})
+
+// Parse checks the text of one document and returns it with every fault found.
+func Parse(file string, text []byte) (Document, []Fault) {
+	if len(text) > MaxDocumentBytes {
+		return Document{}, []Fault{{
+			File:    file,
+			Value:   fmt.Sprintf("%d bytes", len(text)),
+			Allowed: fmt.Sprintf("at most %d bytes", MaxDocumentBytes),
+		}}
+	}
+	var head struct {
+		Kind string `json:"kind"`
+		Name string `json:"name"`
+	}
+	if err := json.Unmarshal(text, &head); err != nil {
+		return Document{}, []Fault{{File: file, Value: err.Error(), Allowed: "one JSON object"}}
+	}
+	c := checkerFor(head.Kind)
+	if c == nil {
+		return Document{}, []Fault{{
+			File:    file,
+			Field:   "kind",
+			Value:   fmt.Sprintf("%q", head.Kind),
+			Allowed: "service, batch, all_at_once, route or limits",
+		}}
+	}
+	doc := Document{File: file, Kind: head.Kind, Name: head.Name, Body: text}
+	faults := c.Check(file, text)
+	if len(faults) == 0 {
+		faults = checkMeaning(doc)
+	}
+	return doc, faults
+}
+
+func checkerFor(kind string) *Checker {
+	if IsJobKind(kind) {
+		kind = "job"
+	}
+	return checkers()[kind]
+}
+
+// checkMeaning finds the faults that a schema can not express.
+func checkMeaning(doc Document) []Fault {
+	if !IsJobKind(doc.Kind) {
+		return nil
+	}
+	var j Job
+	if err := json.Unmarshal(doc.Body, &j); err != nil {
+		return []Fault{{File: doc.File, Value: err.Error(), Allowed: "a job document"}}
+	}
+	if len(j.Payload) > MaxPayloadBytes {
+		return []Fault{{
+			File:    doc.File,
+			Field:   "payload",
+			Value:   fmt.Sprintf("%d bytes", len(j.Payload)),
+			Allowed: fmt.Sprintf("at most %d bytes", MaxPayloadBytes),
+		}}
+	}
+	return nil
+}
+
+// ReadDir reads and checks every .json file below dir.
+func ReadDir(dir string) ([]Document, []Fault, error) {
+	files, err := jsonFiles(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	var docs []Document
+	var faults []Fault
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "config: unable to read document")
+		}
+		doc, found := Parse(file, text)
+		docs = append(docs, doc)
+		faults = append(faults, found...)
+	}
+	if len(faults) == 0 {
+		faults = CheckTogether(docs)
+	}
+	return docs, faults, nil
+}
+
+func jsonFiles(dir string) ([]string, error) {
+	var files []string
+	err := filepath.WalkDir(dir, func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if !entry.IsDir() && strings.HasSuffix(path, ".json") {
+			files = append(files, path)
+		}
+		return nil
+	})
+	sort.Strings(files)
+	return files, errors.Wrapf(err, "config: unable to list documents of %s", dir)
+}
+
+// CheckTogether finds the faults of a publication that no single document shows.
+func CheckTogether(docs []Document) []Fault {
+	var faults []Fault
+	first := make(map[string]string)
+	size := 0
+	for _, doc := range docs {
+		size += len(doc.Body)
+		if other, ok := first[doc.ID()]; ok {
+			faults = append(faults, Fault{
+				File:    doc.File,
+				Field:   "name",
+				Value:   fmt.Sprintf("%q", doc.Name),
+				Allowed: "a name not used by " + other,
+			})
+			continue
+		}
+		first[doc.ID()] = doc.File
+	}
+	if len(docs) > MaxPublication {
+		faults = append(faults, Fault{
+			Value:   fmt.Sprintf("%d documents", len(docs)),
+			Allowed: fmt.Sprintf("at most %d in one publication", MaxPublication),
+		})
+	}
+	if size > MaxPublicationBytes {
+		faults = append(faults, Fault{
+			Value:   fmt.Sprintf("%d bytes in sum", size),
+			Allowed: fmt.Sprintf("at most %d in one publication", MaxPublicationBytes),
+		})
+	}
+	return faults
+}
--- /dev/null
+++ b/pkg/config/schema.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema/*.json
+var schemaFiles embed.FS
+
+// maxValueBytes bounds the part of a faulty value that a Fault quotes.
+const maxValueBytes = 80
+
+// Schema returns the JSON Schema of a document kind.
+func Schema(kind string) ([]byte, bool) {
+	if slices.Contains(jobKinds, kind) {
+		kind = "job"
+	}
+	text, err := schemaFiles.ReadFile("schema/" + kind + ".json")
+	return text, err == nil
+}
+
+// Checker checks JSON texts against one JSON Schema.
+type Checker struct {
+	schema *jsonschema.Schema
+}
+
+// NewChecker compiles a JSON Schema.
+func NewChecker(schema []byte) (*Checker, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return nil, errors.Wrap(err, "config: unable to decode schema")
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("schema.json", doc); err != nil {
+		return nil, errors.Wrap(err, "config: unable to add schema")
+	}
+	compiled, err := c.Compile("schema.json")
+	if err != nil {
+		return nil, errors.Wrap(err, "config: unable to compile schema")
+	}
+	return &Checker{schema: compiled}, nil
+}
+
+// Check returns every fault of the text; file is only named in the faults.
+func (c *Checker) Check(file string, text []byte) []Fault {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return []Fault{{File: file, Value: err.Error(), Allowed: "one JSON object"}}
+	}
+	var invalid *jsonschema.ValidationError
+	if err := c.schema.Validate(doc); !errors.As(err, &invalid) {
+		return nil
+	}
+	return leafFaults(file, doc, invalid)
+}
+
+func leafFaults(file string, doc any, e *jsonschema.ValidationError) []Fault {
+	var faults []Fault
+	for _, cause := range e.Causes {
+		faults = append(faults, leafFaults(file, doc, cause)...)
+	}
+	if len(e.Causes) > 0 {
+		return faults
+	}
+	if extra, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
+		return unknownFields(file, doc, e.InstanceLocation, extra.Properties)
+	}
+	if missing, ok := e.ErrorKind.(*kind.Required); ok {
+		return missingFields(file, e.InstanceLocation, missing.Missing)
+	}
+	return []Fault{{
+		File:    file,
+		Field:   strings.Join(e.InstanceLocation, "."),
+		Value:   quoteAt(doc, e.InstanceLocation),
+		Allowed: e.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
+	}}
+}
+
+func unknownFields(file string, doc any, at, names []string) []Fault {
+	var faults []Fault
+	for _, name := range names {
+		path := append(slices.Clone(at), name)
+		faults = append(faults, Fault{
+			File:    file,
+			Field:   strings.Join(path, "."),
+			Value:   quoteAt(doc, path),
+			Allowed: "no field of this name is known",
+		})
+	}
+	return faults
+}
+
+func missingFields(file string, at, names []string) []Fault {
+	var faults []Fault
+	for _, name := range names {
+		path := append(slices.Clone(at), name)
+		faults = append(faults, Fault{
+			File:    file,
+			Field:   strings.Join(path, "."),
+			Value:   "(missing)",
+			Allowed: "the field is required",
+		})
+	}
+	return faults
+}
+
+// quoteAt returns the value at a path of a decoded JSON text, shortened.
+func quoteAt(doc any, path []string) string {
+	for _, step := range path {
+		doc = child(doc, step)
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return fmt.Sprint(doc)
+	}
+	if len(text) > maxValueBytes {
+		return string(text[:maxValueBytes]) + "..."
+	}
+	return string(text)
+}
+
+func child(doc any, step string) any {
+	switch v := doc.(type) {
+	case map[string]any:
+		return v[step]
+	case []any:
+		if i, err := strconv.Atoi(step); err == nil && i < len(v) {
+			return v[i]
+		}
+	}
+	return nil
+}
