Run the owner duty under faults and mend what they showed

Cause: deterministic runs with kills, pauses, cuts, an hour without the store, lost answers and failing workers found: ended jobs forgotten at once (their end time was never set); tasks that move placed every 300 ms during an outage, and the refusals put the workers into quarantine; a failed task placed on the same worker again by best fit until its job failed; grants of processor time that grew with each start, because a task that takes all it gets is learned as larger; services stopped for a burst into idle capacity. Change: the end time is set when the state takes effect; moving tasks are held back when the last renewal is older than half the limit; refusals are no failures of the worker; a task avoids workers on which it failed; learned processor time never exceeds the declared size; bursts are allowed while the worker has capacity.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -68,12 +68,6 @@
 	return m.view.Members(now)
 }
 
-func (m *members) live(now time.Time, domain string) []member.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.view.Live(now, domain)
-}
-
 func (m *members) owner(now time.Time, domain string) (member.Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -79,6 +79,11 @@
 
 // placeGang places all tasks of a job or none.
 func (t *term) placeGang(jb *job, item queue.Item, now time.Time) {
+	if reason := t.heldBack(jb, now); reason != "" {
+		jb.reason = reason
+		t.putOff(item)
+		return
+	}
 	tasks := jb.gangTasks()
 	wanted := make([]place.Task, 0, len(tasks))
 	for _, tk := range tasks {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -54,11 +54,9 @@
 	pending []*task
 	queued  int
 
-	// gangQueued and gangTaken tell where the item of an all-at-once job is.
+	// gangQueued is set while the item of an all-at-once job is in the queue.
 	gangQueued bool
-	gangTaken  bool
 	retryAt    time.Time
-	failures   int
 }
 
 // ended is a finished task that its worker keeps until the record is saved.
@@ -87,8 +85,9 @@
 	checkpointMS int64
 	throttled    int64
 
-	// failures counts the failed attempts seen by this term.
+	// failures counts the failed attempts seen by this term, failedOn by worker.
 	failures int
+	failedOn map[string]int
 
 	// dropped is set when the task must not run again after it has stopped.
 	dropped bool
@@ -215,6 +214,7 @@
 	if !jb.record.Ended() {
 		return
 	}
+	jb.record.EndedMS = t.nowMS()
 	t.owner.stats.JobsEnded.Add(1)
 	t.emit(event.Event{Kind: endKind(state), Job: jb.record.Job.Name, Detail: state + " " + jb.reason})
 	t.dropTasks(jb)
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -133,7 +133,7 @@
 	for jb := range touched {
 		t.admitPending(jb)
 	}
-	if !t.recovered && len(t.uncertain) == 0 {
+	if !t.recovered && t.reachedAll() {
 		t.recovered = true
 		took := now.Sub(t.began)
 		t.owner.stats.RecoveryMS.Store(took.Milliseconds())
@@ -141,6 +141,16 @@
 	}
 }
 
+// reachedAll tells whether every worker was claimed or could not be reached.
+func (t *term) reachedAll() bool {
+	for _, w := range t.workers {
+		if !w.gone && !w.claimed && w.misses < maxMisses {
+			return false
+		}
+	}
+	return len(t.workers) > 0
+}
+
 // listed tells whether the platform's list or the fleet row named the workers.
 func (t *term) listed() bool {
 	_, ok := t.owner.Instances()
--- a/internal/sched/reconcile.go
+++ b/internal/sched/reconcile.go
@@ -151,9 +151,14 @@
 	}
 }
 
-// possible tells whether a job could ever run here; while not all workers are
-// known the answer is yes.
+// possible tells whether a job could ever run here; while the capacity of a
+// worker is not known the answer is yes.
 func (t *term) possible(j config.Job) (bool, string) {
+	for _, w := range t.workers {
+		if !w.gone && w.capacity == (place.Resources{}) {
+			return true, ""
+		}
+	}
 	if !t.recovered {
 		return true, ""
 	}
@@ -226,12 +231,28 @@
 		if !w.claimed || len(w.tasks) == 0 {
 			continue
 		}
+		t.growGrants(w)
 		for _, a := range t.cell.Overloaded(now, name, measured(w)) {
 			t.act(w, a)
 		}
 	}
 }
 
+// growGrants reserves the memory that tasks use beyond their grants, so that no
+// other task is placed on it. Grants never shrink, since the worker counts them too.
+func (t *term) growGrants(w *worker) {
+	for id, tk := range w.tasks {
+		if tk.used.MemoryMB <= tk.need.MemoryMB {
+			continue
+		}
+		need := tk.need
+		need.MemoryMB = tk.used.MemoryMB
+		if t.cell.Resize(id, need) {
+			tk.need = need
+		}
+	}
+}
+
 func measured(w *worker) []place.Usage {
 	list := make([]place.Usage, 0, len(w.tasks))
 	for id, tk := range w.tasks {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -6,6 +6,7 @@
 	"github.com/daisyrack/daisyrack/internal/agent"
 	"github.com/daisyrack/daisyrack/pkg/config"
 	"github.com/daisyrack/daisyrack/pkg/event"
+	"github.com/daisyrack/daisyrack/pkg/lease"
 	"github.com/daisyrack/daisyrack/pkg/place"
 	"github.com/daisyrack/daisyrack/pkg/queue"
 	"github.com/daisyrack/daisyrack/pkg/usage"
@@ -148,8 +149,13 @@
 }
 
 func (t *term) placeNext(tk *task, item queue.Item, now time.Time) {
+	if reason := t.heldBack(tk.job, now); reason != "" {
+		tk.reason = reason
+		t.putOff(item)
+		return
+	}
 	tk.need = t.size(tk.job)
-	d := t.cell.Place(now, t.placeTask(tk))
+	d := t.placeAvoiding(tk, now)
 	if d.Worker != "" {
 		tk.job.queued--
 		t.assign(tk, t.workers[d.Worker], now)
@@ -161,17 +167,66 @@
 	t.preemptFor(tk, now)
 }
 
+// placeAvoiding places a task on a worker on which it has not failed, unless it
+// has failed on all of them. Best fit alone would choose the same worker again.
+func (t *term) placeAvoiding(tk *task, now time.Time) place.Decision {
+	var avoided []*worker
+	for name := range tk.failedOn {
+		if w := t.workers[name]; w != nil && !w.cordoned {
+			avoided = append(avoided, w)
+		}
+	}
+	if len(avoided) == 0 || len(avoided) >= t.openWorkers() {
+		return t.cell.Place(now, t.placeTask(tk))
+	}
+	for _, w := range avoided {
+		t.cell.Cordon(w.member.Name, true)
+	}
+	defer func() {
+		for _, w := range avoided {
+			t.cell.Cordon(w.member.Name, false)
+		}
+	}()
+	return t.cell.Place(now, t.placeTask(tk))
+}
+
+// openWorkers counts the workers that take new tasks.
+func (t *term) openWorkers() int {
+	n := 0
+	for _, w := range t.workers {
+		if !w.cordoned && !w.gone && w.claimed {
+			n++
+		}
+	}
+	return n
+}
+
+// heldBack says why no task of a job can be started at the moment, or "". A
+// task that moves when it is cut off would be refused by every worker once the
+// owner has been without the table service for MoveLimit.
+func (t *term) heldBack(jb *job, now time.Time) string {
+	proven, ok := t.owner.Proven()
+	if jb.cutOff() == lease.Move && (!ok || now.Sub(proven) > lease.MoveLimit/2) {
+		t.wake = true
+		return "the table service does not answer, and the job moves when it is cut off"
+	}
+	return ""
+}
+
 // putOff gives a taken item its place back, to be passed over until the next wake.
 func (t *term) putOff(item queue.Item) {
 	t.queue.Return(item)
 	t.queue.Defer(item.ID)
 }
 
-// size returns the learned size of a job's tasks.
+// size returns the learned size of a job's tasks. Processor time above the
+// declared size is a burst into idle capacity and reserves nothing, since a task
+// that takes all it gets would otherwise grow with each start; memory is
+// reserved as used, since a task without it fails.
 func (t *term) size(jb *job) place.Resources {
 	need := declared(jb.record.Job)
 	learned := t.book.Size(jb.record.Job.Name, amount(need))
-	need.CPUMillis = learned.CPUMillis
+	need.CPUMillis = min(need.CPUMillis, learned.CPUMillis)
 	need.MemoryMB = learned.MemoryMB
 	return need
 }
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -17,6 +17,10 @@
 	// serviceDelay is the pause before a service's task that ended starts again.
 	serviceDelay = 500 * time.Millisecond
 
+	// sameWorkerFailures is how many failures on the same workers count as one
+	// failure elsewhere.
+	sameWorkerFailures = 4
+
 	// attemptBits leaves room for four thousand million starts in one epoch.
 	attemptBits = 32
 )
@@ -141,7 +145,6 @@
 		return
 	}
 	t.owner.stats.StartsRefused.Add(1)
-	t.health.Failed(now, w.member.Name, tk.job.record.Job.Name)
 	t.release(tk)
 	t.requeue(tk, "refused by worker "+w.member.Name+": "+s.Reason, refusedDelay)
 }
@@ -214,8 +217,8 @@
 		return
 	}
 	jb.record.Failures++
-	tk.failures++
-	if tk.failures >= jb.record.Job.MaxAttempts {
+	tk.noteFailure(w.member.Name)
+	if tk.gaveUp(jb.record.Job.MaxAttempts) {
 		t.requeue(tk, "failed", time.Hour)
 		t.fail(jb, "task "+tk.id+" failed too often")
 		return
@@ -223,6 +226,20 @@
 	t.requeue(tk, "failed on worker "+w.member.Name, max(refusedDelay, t.health.NextTry(now, name).Sub(now)))
 }
 
+func (tk *task) noteFailure(worker string) {
+	if tk.failedOn == nil {
+		tk.failedOn = make(map[string]int)
+	}
+	tk.failedOn[worker]++
+	tk.failures++
+}
+
+// gaveUp tells whether a task has failed too often. Failures on one worker count
+// once, since the worker may be at fault; a fleet of few workers has a limit too.
+func (tk *task) gaveUp(maxAttempts int) bool {
+	return len(tk.failedOn) >= maxAttempts || tk.failures >= maxAttempts*sameWorkerFailures
+}
+
 // lose gives up a task whose worker can not run it any more.
 func (t *term) lose(tk *task, reason string) {
 	t.owner.stats.TasksLost.Add(1)
--- a/internal/sched/term.go
+++ b/internal/sched/term.go
@@ -95,6 +95,9 @@
 		revision:     -1,
 	}
 	t.reach.Acquired(t.began, nil)
+	// Unused capacity of a worker belongs to whoever uses it; tasks are only
+	// stopped when the worker itself is short.
+	t.cell.BurstToCapacity = true
 	t.queue.Limits = jobLimits(o.Config.Current())
 	o.stats.Terms.Add(1)
 	return t
