--- a/pkg/once/end.go
+++ b/pkg/once/end.go
@@ -14,7 +14,7 @@
 		return
 	}
 	if !r.write(ctx, own) {
-		r.later(own, r.write)
+		r.later(own, 0, r.write)
 	}
 }
 
@@ -73,7 +73,7 @@
 		return
 	}
 	if !r.remove(ctx, own) {
-		r.later(own, r.remove)
+		r.later(own, 0, r.remove)
 	}
 }
 
@@ -118,27 +118,45 @@
 // removeLater deletes, in the background, the row of a claim whose commit stayed unknown.
 func (r *Register) removeLater(own *entry) {
 	if r.withdrawing(own) {
-		r.later(own, r.removeUnknown)
+		r.later(own, 0, r.removeUnknown)
 	}
 }
 
-// removeUnknown deletes the row of a claim of which it is not known whether it exists.
+// removeUnknown deletes the row of a claim of which it is not known whether it exists. Without
+// a row the key is free again, but the commit may still be on its way.
 func (r *Register) removeUnknown(ctx context.Context, own *entry) bool {
-	row, exists, err := r.Row(ctx, own.rowKey)
-	if err != nil {
+	done, exists := r.removeOwn(ctx, own)
+	if !done {
 		return false
 	}
-	if exists {
-		found, err := decode(row)
-		if err == nil && found.Nonce == own.nonce {
-			own.version = row.Version
-			return r.remove(ctx, own)
-		}
+	if !exists {
+		r.later(own, ghostDelay, r.removeGhost)
 	}
 	r.leave(own)
 	return true
 }
 
+// removeGhost deletes the row of a claim whose commit took effect after its request was refused.
+func (r *Register) removeGhost(ctx context.Context, own *entry) bool {
+	done, _ := r.removeOwn(ctx, own)
+	return done
+}
+
+// removeOwn deletes a row if this claim wrote it. The first result is false if it has to be
+// tried again, the second one says whether there was a row.
+func (r *Register) removeOwn(ctx context.Context, own *entry) (done, exists bool) {
+	row, exists, err := r.Row(ctx, own.rowKey)
+	if err != nil || !exists {
+		return err == nil, false
+	}
+	found, err := decode(row)
+	if err != nil || found.Nonce != own.nonce {
+		return true, true
+	}
+	own.version = row.Version
+	return r.remove(ctx, own), true
+}
+
 func (r *Register) results() int {
 	if r.Results > 0 {
 		return r.Results
--- a/pkg/once/register.go
+++ b/pkg/once/register.go
@@ -18,6 +18,9 @@
 	// DefaultBacklog bounds the row changes that wait for the store.
 	DefaultBacklog = 4096
 
+	// DefaultBacklogBytes bounds the bodies of the answers that wait for the store.
+	DefaultBacklogBytes = 16 << 20
+
 	// claimAttempts bounds the tries for a key whose row disappears between insert and read.
 	claimAttempts = 3
 )
@@ -43,8 +46,8 @@
 
 	// Results and ResultBytes bound the own recent answers in memory; 0 means the default.
 	Results, ResultBytes int
-	// Backlog bounds the row changes that wait for the store; 0 means DefaultBacklog.
-	Backlog int
+	// Backlog and BacklogBytes bound the row changes that wait for the store; 0 means the default.
+	Backlog, BacklogBytes int
 
 	// Stats counts what the Register did.
 	Stats Stats
--- a/pkg/table/batch.go
+++ b/pkg/table/batch.go
@@ -1,5 +1,11 @@
 package table
 
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
 // batch collects the writes of one transaction.
 type batch struct {
 	maxRows, maxBytes int
@@ -33,13 +39,35 @@
 	return b
 }
 
+// fenced reports whether a write can ever share a transaction with the fence; if not, the result
+// is its outcome.
+func (b *batch) fenced(e *entry) (Result, bool) {
+	rows := len(b.fence) + e.rows()
+	if rows > b.maxRows || e.bytes() > b.maxBytes {
+		err := errors.Wrapf(ErrTooLarge, "table: %d rows with the fence and %d bytes", rows, e.bytes())
+		return Result{Outcome: Refused, Err: err}, false
+	}
+	for _, fence := range b.fence {
+		for _, check := range e.write.Checks {
+			if check.Key == fence.Key && check.Version != fence.Version {
+				return Result{Outcome: Conflict, Conflicts: []Check{fence}}, false
+			}
+		}
+		if slices.Contains(e.writtenKeys(), fence.Key) {
+			err := errors.Wrapf(ErrInvalid, "table: write changes the fence %q", fence.Key)
+			return Result{Outcome: Refused, Err: err}, false
+		}
+	}
+	return Result{}, true
+}
+
 // add takes a write into the transaction; false means that it has to wait for the next one.
 func (b *batch) add(e *entry) bool {
 	if !b.fits(e) {
 		b.full = true
 		return false
 	}
-	if len(b.entries) > 0 && !b.apart(e) {
+	if !b.apart(e) {
 		b.block(e)
 		return false
 	}
@@ -47,8 +75,7 @@
 	b.bytes += e.bytes()
 	b.entries = append(b.entries, e)
 	for _, check := range e.write.Checks {
-		// The first write may contradict the fence; the store then reports its conflict.
-		if version, ok := b.checked[check.Key]; !ok || version != check.Version {
+		if _, ok := b.checked[check.Key]; !ok {
 			b.checked[check.Key] = check.Version
 			b.tx.Checks = append(b.tx.Checks, check)
 		}
@@ -61,11 +88,7 @@
 	return true
 }
 
-// fits always holds for the first write, so that a fence can't keep a large write out forever.
 func (b *batch) fits(e *entry) bool {
-	if len(b.entries) == 0 {
-		return true
-	}
 	return b.rows+e.rows() <= b.maxRows && b.bytes+e.bytes() <= b.maxBytes
 }
 
@@ -80,11 +103,7 @@
 			return false
 		}
 	}
-	own := make(map[string]bool, len(e.write.Checks))
 	for _, key := range e.writtenKeys() {
-		own[key] = true
-	}
-	for key := range own {
 		if _, checked := b.checked[key]; checked || b.written[key] {
 			return false
 		}
--- a/pkg/table/client_test.go
+++ b/pkg/table/client_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/pkg/table"
@@ -86,3 +90,61 @@
 		assert.DeepEqual(t, res.Conflicts, []table.Check{{Key: "a", Version: 1}})
 	})
 }
+
+// Guards against Unknown for a commit that can't have reached the store.
+func TestCommitIsRefusedWithoutConnection(t *testing.T) {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	client := table.Client{BaseURL: "http://table", HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.Equal(t, client.Commit(ctx, table.Commit{}).Outcome, table.Refused)
+	cancel()
+	assert.Equal(t, client.Commit(ctx, table.Commit{}).Outcome, table.Refused)
+	assert.Equal(t, client.LostAnswers.Load(), int64(0))
+}
+
+// Guards against a scan that ends after its first page or exceeds its share of the read budget.
+func TestAllRowsReadsEveryPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store fake.Table
+		client := store.Client("a")
+		const pages = 5
+		tx := table.Commit{Puts: []table.Put{{Key: "other/x"}, {Key: "jobz"}}}
+		for i := range pages * table.PageRows {
+			tx.Puts = append(tx.Puts, table.Put{Key: fmt.Sprintf("job/%d", i)})
+		}
+		assert.Equal(t, client.Commit(t.Context(), tx).Outcome, table.Committed)
+		began := time.Now()
+		rows, version, err := client.AllRows(t.Context(), "job/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), pages*table.PageRows)
+		assert.Equal(t, version, int64(1))
+		assert.Assert(t, time.Since(began) >= pages*time.Second/200)
+
+		store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: 503} })
+		_, _, err = client.AllRows(t.Context(), "job/")
+		assert.ErrorContains(t, err, "status 503")
+	})
+}
+
+// Guards against object names that lose or change a part on their way to the store.
+func TestObjectNamesAreKept(t *testing.T) {
+	var store fake.Table
+	client := store.Client("a")
+	names := []string{"usage/a", "once/a%2Fb/c", "once/a/b/c", "once/u/k?x#y", "once/u/\u00e4 %"}
+	for _, name := range names {
+		assert.NilError(t, client.PutObject(t.Context(), name, []byte(name)))
+	}
+	for _, name := range names {
+		b, found, err := client.Object(t.Context(), name)
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+		assert.Equal(t, string(b), name)
+		assert.NilError(t, client.DeleteObject(t.Context(), name))
+	}
+	_, found, err := client.Object(t.Context(), names[0])
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	assert.Equal(t, store.Objects(), 0)
+}
--- a/pkg/table/fake/table.go
+++ b/pkg/table/fake/table.go
@@ -61,7 +61,8 @@
 	return len(t.objects)
 }
 
-// apply carries out a transaction. A token that is known already does not take effect again.
+// apply carries out a transaction. It does not look at the token first, because the platform's
+// protocol does not promise that a token takes effect only once.
 func (t *Table) apply(tx table.Commit) table.Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/table/group.go
+++ b/pkg/table/group.go
@@ -84,8 +84,10 @@
 	// Patience bounds how long a write waits while the store is down; 0 means DefaultPatience.
 	Patience time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// queue holds the waiting writes, oldest first; left of them are settled already.
 	queue    []*entry
+	left     int
 	inFlight int
 	closed   bool
 	stats    GroupStats
@@ -180,6 +182,7 @@
 		g.settle(e, Result{Outcome: Unknown, Err: errors.Wrap(err, "table: write was sent without an answer")})
 		return e.result
 	}
+	g.left++
 	g.settle(e, Result{Outcome: Refused, Err: errors.Wrap(err, "table: write was not sent")})
 	return e.result
 }
--- a/pkg/table/group_test.go
+++ b/pkg/table/group_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,6 +23,15 @@
 	}
 }
 
+// inserts returns n writes of different new rows.
+func inserts(prefix string, n int) []table.Write {
+	writes := make([]table.Write, n)
+	for i := range writes {
+		writes[i] = put(fmt.Sprintf("%s/%d", prefix, i), 0)
+	}
+	return writes
+}
+
 // run runs g until the returned function is called, which waits for the drain.
 func run(t *testing.T, g *table.Group) func() {
 	t.Helper()
@@ -43,29 +56,403 @@
 	return results
 }
 
-// Guards against one conflicting write that fails the other writes of its transaction.
+func count(results []table.Result, outcome table.Outcome) int {
+	n := 0
+	for _, res := range results {
+		if res.Outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against one conflicting write that fails the others, and against two writes of one key
+// in one transaction, where the second one would win.
 func TestConflictFailsOnlyItsOwnWrite(t *testing.T) {
+	const c, x = table.Committed, table.Conflict
+	blind := table.Write{Puts: []table.Put{{Key: "a", Value: []byte("v")}}}
+	remove := table.Write{Checks: []table.Check{{Key: "a", Version: 1}}, Deletes: []string{"a"}}
+	cases := []struct {
+		name   string
+		writes []table.Write
+		want   []table.Outcome
+		sent   int
+	}{
+		{"different keys", []table.Write{put("a", 0), put("b", 0)}, []table.Outcome{c, c}, 1},
+		{"wrong version", []table.Write{put("a", 0), put("b", 7), put("c", 0)}, []table.Outcome{c, x, c}, 2},
+		{"all wrong", []table.Write{put("a", 3), put("b", 7)}, []table.Outcome{x, x}, 1},
+		{"same key", []table.Write{put("a", 0), put("a", 0)}, []table.Outcome{c, x}, 2},
+		{"same key without checks", []table.Write{blind, blind}, []table.Outcome{c, c}, 2},
+		{"put and delete", []table.Write{put("a", 0), remove, put("a", 0)}, []table.Outcome{c, c, c}, 3},
+		{"check of a key that another write changes", []table.Write{put("a", 0), {
+			Checks: []table.Check{{Key: "a"}},
+			Puts:   []table.Put{{Key: "b", Value: []byte("v")}},
+		}}, []table.Outcome{c, x}, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store fake.Table
+				g := &table.Group{Commit: store.Client("a").Commit}
+				defer run(t, g)()
+				for i, res := range doAll(t.Context(), g, tc.writes...) {
+					assert.Equal(t, res.Outcome, tc.want[i], "write %d", i)
+				}
+				assert.Equal(t, store.Stats().Commits, tc.sent)
+			})
+		})
+	}
+}
+
+// Guards against writes of an owner that has lost its epoch.
+func TestFenceConflictFailsAllWrites(t *testing.T) {
+	cases := []struct {
+		name  string
+		fence int64
+		write table.Write
+		want  table.Outcome
+	}{
+		{"fence holds", 1, put("x", 0), table.Committed},
+		{"fence has changed", 9, put("x", 0), table.Conflict},
+		{"write of an older epoch", 1, table.Write{
+			Checks: []table.Check{{Key: "epoch/a", Version: 9}},
+			Puts:   []table.Put{{Key: "x", Value: []byte("v")}},
+		}, table.Conflict},
+		{"fence and write conflict", 9, put("x", 3), table.Conflict},
+		{"write of the fence itself", 1, put("epoch/a", 1), table.Refused},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store fake.Table
+				client := store.Client("a")
+				epoch := put("epoch/a", 0)
+				client.Commit(t.Context(), table.Commit{Checks: epoch.Checks, Puts: epoch.Puts})
+				fence := func() []table.Check {
+					return []table.Check{{Key: "epoch/a", Version: tc.fence}}
+				}
+				g := &table.Group{Commit: client.Commit, Fence: fence}
+				defer run(t, g)()
+				results := doAll(t.Context(), g, append(inserts("other", 5), tc.write)...)
+				assert.Equal(t, results[5].Outcome, tc.want)
+				if tc.fence == 9 {
+					assert.Equal(t, count(results, table.Conflict), 6)
+					assert.Equal(t, results[0].Conflicts[0].Key, "epoch/a")
+					assert.Equal(t, store.Stats().Commits, 2)
+				}
+				_, exists := store.Get("x")
+				assert.Equal(t, exists, tc.want == table.Committed)
+			})
+		})
+	}
+}
+
+// Guards against a refusal of a write that was sent, and against a write that takes effect
+// after it was refused.
+func TestEndOfContext(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault fake.Fault
+		rate  float64
+		want  table.Outcome
+	}{
+		{"before the write was sent", fake.Fault{}, 0.01, table.Refused},
+		{"while the store works", fake.Fault{Before: time.Second}, 0, table.Unknown},
+		{"while the store does not answer", fake.Fault{After: time.Hour}, 0, table.Unknown},
+		{"while the store refuses", fake.Fault{Status: 503}, 0, table.Refused},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store fake.Table
+				client := store.Client("a")
+				commit := func(ctx context.Context, tx table.Commit) table.Result {
+					if len(tx.Puts) > 0 && tx.Puts[0].Key == "first" {
+						return table.Result{}
+					}
+					return client.Commit(ctx, tx)
+				}
+				store.Fault = func(fake.Call) fake.Fault { return tc.fault }
+				g := &table.Group{Commit: commit, WritesPerSecond: tc.rate}
+				defer run(t, g)()
+				g.Do(t.Context(), put("first", 0)) // uses up the token bucket
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer cancel()
+				began := time.Now()
+				res := g.Do(ctx, put("x", 0))
+				assert.Equal(t, time.Since(began), 500*time.Millisecond)
+				assert.Equal(t, res.Outcome, tc.want)
+				time.Sleep(time.Minute)
+				if _, exists := store.Get("x"); tc.want == table.Refused {
+					assert.Assert(t, !exists)
+				}
+			})
+		})
+	}
+}
+
+// Guards against hidden blocking when more writes come than the ring holds, and against writes
+// that can never be sent.
+func TestRefusalAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store fake.Table
+		store.Fault = func(fake.Call) fake.Fault { return fake.Fault{Before: time.Second} }
+		g := &table.Group{Commit: store.Client("a").Commit, Pending: 10, MaxRows: 8}
+		defer run(t, g)()
+		results := doAll(t.Context(), g, inserts("x", 12)...)
+		assert.Equal(t, count(results, table.Committed), 10)
+		assert.ErrorIs(t, results[10].Err, table.ErrFull)
+		assert.ErrorIs(t, results[11].Err, table.ErrFull)
+		assert.Equal(t, g.Stats().Full, int64(2))
+		large := table.Write{Checks: make([]table.Check, 9)}
+		assert.ErrorIs(t, g.Do(t.Context(), large).Err, table.ErrTooLarge)
+		assert.Equal(t, store.Stats().MaxRows, 8)
+	})
+}
+
+// Guards against a write budget that bursts or many writes can exceed.
+func TestWriteRateIsBounded(t *testing.T) {
+	for _, perSecond := range []float64{1.3, 10} {
+		synctest.Test(t, func(t *testing.T) {
+			var store fake.Table
+			g := &table.Group{Commit: store.Client("a").Commit, WritesPerSecond: perSecond, Pending: 1 << 20}
+			stop := run(t, g)
+			for i := range 1000 {
+				go g.Do(context.Background(), put(fmt.Sprint(i), 0))
+				time.Sleep(10 * time.Millisecond)
+			}
+			commits := store.Stats().Commits
+			assert.Assert(t, commits <= int(perSecond*10)+1, "%d transactions", commits)
+			stop()
+			assert.Equal(t, store.Stats().Applied, store.Stats().Commits)
+			assert.Equal(t, g.Stats().CommittedWrites, int64(1000))
+		})
+	}
+}
+
+// Guards against lost writes at shutdown: what was accepted before is still sent.
+func TestDrain(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault fake.Fault
+		want  table.Outcome
+	}{
+		{"store works", fake.Fault{Before: time.Second}, table.Committed},
+		{"store refuses", fake.Fault{Status: 503}, table.Refused},
+		{"store does not answer", fake.Fault{Before: time.Hour}, table.Unknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store fake.Table
+				store.Fault = func(fake.Call) fake.Fault { return tc.fault }
+				g := &table.Group{Commit: store.Client("a").Commit, Window: time.Hour, Patience: time.Hour}
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(time.Second, cancel)
+				go func() { _ = g.Run(ctx) }()
+				results := doAll(t.Context(), g, inserts("x", 3)...)
+				assert.Equal(t, count(results, tc.want), 3)
+				late := g.Do(t.Context(), put("late", 0))
+				assert.ErrorIs(t, late.Err, table.ErrClosed)
+			})
+		})
+	}
+}
+
+// Guards against a single malformed write that keeps all others from being sent.
+func TestInvalidWriteFailsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store fake.Table
-		g := &table.Group{Commit: store.Client("a").Commit}
+		client := store.Client("a")
+		commit := func(ctx context.Context, tx table.Commit) table.Result {
+			for _, p := range tx.Puts {
+				if p.Key == "bad" {
+					return table.Result{Outcome: table.Refused, Err: table.ErrInvalid}
+				}
+			}
+			return client.Commit(ctx, tx)
+		}
+		g := &table.Group{Commit: commit}
 		defer run(t, g)()
-		results := doAll(t.Context(), g, put("a", 0), put("b", 7), put("c", 0))
+		results := doAll(t.Context(), g, put("a", 0), put("bad", 0), put("b", 0))
 		assert.Equal(t, results[0].Outcome, table.Committed)
-		assert.Equal(t, results[1].Outcome, table.Conflict)
-		assert.DeepEqual(t, results[1].Conflicts, []table.Check{{Key: "b"}})
+		assert.ErrorIs(t, results[1].Err, table.ErrInvalid)
 		assert.Equal(t, results[2].Outcome, table.Committed)
-		assert.Equal(t, store.Stats().Commits, 2)
 	})
 }
 
-// Guards against two writes of one key in one transaction, where the second one would win.
-func TestWritesOfOneKeyNeverShareATransaction(t *testing.T) {
+// Guards against a stampede of the instances when the store is back, and against writes that
+// hang during an outage.
+func TestOutageAndReturn(t *testing.T) {
+	for _, down := range []fake.Fault{{Status: 503}, {Drop: true}, {Before: time.Hour}} {
+		t.Run(fmt.Sprintf("%+v", down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { outage(t, down) })
+		})
+	}
+}
+
+func outage(t *testing.T, down fake.Fault) {
+	const instances, outageTime = 54, time.Minute
+	perSecond := 1.3
+	var store fake.Table
+	var posts atomic.Int64
+	tally := func(call fake.Call) {
+		if call.Write() {
+			posts.Add(1)
+		}
+	}
+	store.Fault = func(call fake.Call) fake.Fault {
+		tally(call)
+		return down
+	}
+	groups := make([]*table.Group, instances)
+	var wg sync.WaitGroup
+	end := time.Now().Add(outageTime + 30*time.Second)
+	committed, refused := 0, 0
+	longest := time.Duration(0)
+	var mu sync.Mutex
+	for i := range groups {
+		g := &table.Group{Commit: store.Client(fmt.Sprint(i)).Commit, WritesPerSecond: perSecond}
+		groups[i] = g
+		defer run(t, g)()
+		// Ten writers per instance, each with one write after another.
+		for w := range 10 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(w) * 100 * time.Millisecond)
+				for n := 0; time.Now().Before(end); n++ {
+					ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+					began := time.Now()
+					res := g.Do(ctx, put(fmt.Sprintf("%d/%d/%d", i, w, n), 0))
+					cancel()
+					mu.Lock()
+					switch res.Outcome {
+					case table.Committed:
+						committed++
+					case table.Refused:
+						refused++
+						longest = max(longest, time.Since(began))
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	time.Sleep(outageTime)
+	during := posts.Load()
+	store.SetFault(func(call fake.Call) fake.Fault {
+		tally(call)
+		return fake.Fault{Before: 5 * time.Millisecond}
+	})
+	mu.Lock()
+	assert.Equal(t, committed, 0)
+	mu.Unlock()
+	var perSec []int64
+	for range 10 {
+		before := posts.Load()
+		time.Sleep(time.Second)
+		perSec = append(perSec, posts.Load()-before)
+	}
+	wg.Wait()
+	t.Logf("writes sent during %v of outage: %d; in each second after: %v; then committed %d, refused before %d, after at most %v",
+		outageTime, during, perSec, committed, refused, longest)
+	for _, n := range perSec {
+		assert.Assert(t, n <= int64(instances*perSecond)+instances, "%d writes in one second", n)
+	}
+	// With full jitter up to 5 s the mean pause between two probes is 2.5 s.
+	assert.Assert(t, during <= instances*int64(outageTime/(1500*time.Millisecond)), "%d probes", during)
+	assert.Assert(t, committed > 0 && refused > 0)
+	assert.Assert(t, longest <= table.DefaultTimeout+table.DefaultPatience, "refused after %v", longest)
+}
+
+// Guards against a full load on a store that has just come back: one write is sent first.
+func TestProbeBeforeTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var store fake.Table
-		g := &table.Group{Commit: store.Client("a").Commit}
+		client := store.Client("a")
+		var sizes []int
+		commit := func(ctx context.Context, tx table.Commit) table.Result {
+			sizes = append(sizes, len(tx.Puts))
+			if len(sizes) <= 3 {
+				return table.Result{Outcome: table.Refused}
+			}
+			return client.Commit(ctx, tx)
+		}
+		g := &table.Group{Commit: commit, Patience: time.Minute}
 		defer run(t, g)()
-		results := doAll(t.Context(), g, put("a", 0), put("a", 0))
-		assert.Equal(t, results[0].Outcome, table.Committed)
-		assert.Equal(t, results[1].Outcome, table.Conflict)
+		results := doAll(t.Context(), g, inserts("x", 20)...)
+		assert.Equal(t, count(results, table.Committed), 20)
+		assert.DeepEqual(t, sizes, []int{20, 1, 1, 1, 19})
+		assert.Equal(t, g.Stats().Probes, int64(3))
 	})
 }
+
+// Guards against any difference between a reported outcome and the effect, under random faults:
+// each write inserts a row of its own, so that the table shows what took effect.
+func TestOutcomesAreTrueUnderFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) { outcomes(t, seed) })
+	}
+}
+
+func outcomes(t *testing.T, seed uint64) {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	rng, faults := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
+	var store fake.Table
+	var mu sync.Mutex
+	store.Fault = func(fake.Call) fake.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		return randomFault(faults)
+	}
+	g := &table.Group{Commit: store.Client("a").Commit, MaxRows: 16}
+	stop := run(t, g)
+	const writes = 300
+	results := make([]table.Result, writes)
+	var wg sync.WaitGroup
+	for i := range results {
+		contended := fmt.Sprintf("shared/%d", rng.IntN(5))
+		patience := time.Duration(rng.IntN(20000)) * time.Millisecond
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			row, _ := store.Get(contended)
+			w := put(contended, row.Version)
+			w.Checks = append(w.Checks, table.Check{Key: fmt.Sprint(i)})
+			w.Puts = append(w.Puts, table.Put{Key: fmt.Sprint(i), Value: []byte("v")})
+			results[i] = g.Do(ctx, w)
+		})
+		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+	}
+	wg.Wait()
+	store.SetFault(nil)
+	stop()
+	time.Sleep(time.Minute)
+	for i, res := range results {
+		row, exists := store.Get(fmt.Sprint(i))
+		switch res.Outcome {
+		case table.Committed:
+			assert.Assert(t, exists && row.Version == res.Version, "seed %d: write %d is lost", seed, i)
+		case table.Conflict, table.Refused:
+			assert.Assert(t, !exists, "seed %d: write %d was %s but took effect", seed, i, res.Outcome)
+		}
+	}
+	assert.Assert(t, count(results, table.Committed) > 0)
+}
+
+func randomFault(rng *rand.Rand) fake.Fault {
+	delay := time.Duration(rng.IntN(20)) * time.Millisecond
+	switch rng.IntN(12) {
+	case 0:
+		return fake.Fault{Lose: true}
+	case 1:
+		return fake.Fault{Drop: true}
+	case 2:
+		return fake.Fault{Status: 503}
+	case 3:
+		return fake.Fault{Late: time.Duration(rng.IntN(5000)) * time.Millisecond}
+	case 4:
+		return fake.Fault{After: 3 * time.Second}
+	}
+	return fake.Fault{Before: delay, After: delay}
+}
--- a/pkg/table/row.go
+++ b/pkg/table/row.go
@@ -66,6 +66,8 @@
 
 // repeatable reports whether at most one of several copies of c can take effect: a copy that
 // took effect changes the version of a row that c checks, so that the check of a later copy fails.
+// The exception is an insert whose row is deleted before the other copy arrives; who deletes rows
+// must tolerate that one appears again.
 func (c Commit) repeatable() bool {
 	checked := make(map[string]int64, len(c.Checks))
 	for _, check := range c.Checks {
--- a/pkg/table/sender.go
+++ b/pkg/table/sender.go
@@ -146,6 +146,10 @@
 // It returns the time until the next of them has waited too long.
 func (s *sender) prune(now time.Time) time.Duration {
 	wait := time.Hour
+	if !s.down() && s.g.left == 0 {
+		return wait
+	}
+	s.g.left = 0
 	patience := s.g.patience()
 	kept := s.g.queue[:0]
 	for _, e := range s.g.queue {
@@ -181,6 +185,10 @@
 	b := newBatch(fence, g.maxRows(), g.maxBytes())
 	kept := g.queue[:0]
 	for _, e := range g.queue {
+		if res, ok := b.fenced(e); !ok {
+			g.settle(e, res)
+			continue
+		}
 		if b.full || single && len(b.entries) == 1 || !b.add(e) {
 			kept = append(kept, e)
 			continue
@@ -189,6 +197,9 @@
 	}
 	clear(g.queue[len(kept):])
 	g.queue = kept
+	if len(b.entries) == 0 {
+		return
+	}
 	g.inFlight = len(b.entries)
 	g.stats.Transactions++
 	g.stats.SentWrites += int64(len(b.entries))
