--- a/pkg/place/cell.go
+++ b/pkg/place/cell.go
@@ -48,11 +48,16 @@
 
 	racks  []rack
 	byRack map[string]int32
+	// inRacks is the number of racks that have a worker.
+	inRacks int32
 
 	grid  index
 	res   *reservation
 	fails failures
 
+	// victimBuf has the scratch lists of Preempt.
+	victimBuf [2][]victim
+
 	// open is the number of workers that are not cordoned.
 	open int
 	// total and granted are sums over all workers.
@@ -132,7 +137,7 @@
 		name: w.Name, capacity: w.Capacity, free: w.Capacity,
 		rack: c.rackOf(w.Rack), first: none, slot: none, used: true,
 	}
-	c.racks[c.workers[i].rack].workers++
+	c.countRack(c.workers[i].rack, 1)
 	c.open++
 	c.total = c.total.Add(w.Capacity)
 	c.fitGrid(w.Capacity)
@@ -163,8 +168,8 @@
 			c.jobs[j].perRack[to]++
 		}
 	}
-	c.racks[wk.rack].workers--
-	c.racks[to].workers++
+	c.countRack(wk.rack, -1)
+	c.countRack(to, 1)
 	wk.rack = to
 }
 
@@ -190,7 +195,7 @@
 	}
 	c.unlink(i)
 	c.total = c.total.Sub(c.workers[i].capacity)
-	c.racks[c.workers[i].rack].workers--
+	c.countRack(c.workers[i].rack, -1)
 	delete(c.byName, name)
 	c.workers[i] = worker{slot: none, first: none}
 	c.freeWorker = append(c.freeWorker, i)
@@ -435,3 +440,15 @@
 	}
 	return i
 }
+
+// countRack adds change, 1 or -1, to the workers of a rack; inRacks counts the racks with workers.
+func (c *Cell) countRack(i, change int32) {
+	r := &c.racks[i]
+	if r.workers == 0 {
+		c.inRacks++
+	}
+	r.workers += change
+	if r.workers == 0 {
+		c.inRacks--
+	}
+}
--- a/pkg/place/packing_test.go
+++ b/pkg/place/packing_test.go
@@ -1,10 +1,13 @@
 package place_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -207,3 +210,77 @@
 	}
 	return b.String()
 }
+
+// exact returns the most that any choice of tasks and workers grants, by trying them all.
+func exact(ts []place.Task, free []place.Resources, value func(place.Resources) float64) float64 {
+	if len(ts) == 0 {
+		return 0
+	}
+	best := exact(ts[1:], free, value)
+	for w := range free {
+		if slices.Contains(free[:w], free[w]) || !ts[0].Need.Fits(free[w]) {
+			continue
+		}
+		free[w] = free[w].Sub(ts[0].Need)
+		best = max(best, value(ts[0].Need)+exact(ts[1:], free, value))
+		free[w] = free[w].Add(ts[0].Need)
+	}
+	return best
+}
+
+// Guards against packing below 95% of what is possible at all: 2 workers and 11 tasks that
+// ask for more than these have, largest first as PlaceAll does it, and in order of arrival.
+func TestPackingAgainstExactBound(t *testing.T) {
+	const cases = 300
+	sorted := map[string]float64{}
+	arrival := map[string]float64{}
+	value := func(r place.Resources) float64 { return base.Remaining(r, host) }
+	seed := uint64(0)
+	for counted := 0; counted < cases; {
+		seed++
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		ts := make([]place.Task, 11)
+		asked := 0.0
+		for i := range ts {
+			ts[i] = mix(rnd, i)
+			if ts[i].Need.Fits(host) {
+				asked += value(ts[i].Need)
+			}
+		}
+		most := exact(ts, []place.Resources{host, host}, value)
+		if most > asked-1e-9 {
+			continue // everything fits: nothing to compare
+		}
+		counted++
+		bySize := slices.Clone(ts)
+		slices.SortStableFunc(bySize, func(a, b place.Task) int { return cmp.Compare(value(b.Need), value(a.Need)) })
+		for _, run := range []struct {
+			tasks []place.Task
+			sums  map[string]float64
+		}{{bySize, sorted}, {ts, arrival}} {
+			for _, p := range packers(seed) {
+				run.sums[p.name] += fill(p, run.tasks, value) / most / cases
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sorted)) {
+		t.Logf("%d cases of seeds 1 to %d, share of the exact bound: %-16s largest first %.4f, in order of arrival %.4f",
+			cases, seed, name, sorted[name], arrival[name])
+	}
+	assert.Assert(t, sorted["cell"] >= 0.95)
+	assert.Assert(t, sorted["cell"] >= 0.99*sorted["best fit"])
+}
+
+// fill places what fits on two workers and returns the value granted.
+func fill(p packer, ts []place.Task, value func(place.Resources) float64) float64 {
+	for i := range 2 {
+		p.setWorker(place.Worker{Name: "w" + strconv.Itoa(i), Capacity: host})
+	}
+	sum := 0.0
+	for _, task := range ts {
+		if p.place(task) {
+			sum += value(task.Need)
+		}
+	}
+	return sum
+}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -12,6 +12,9 @@
 	perBucket = 16
 	// enough bounds the workers compared for one task once one is found.
 	enough = 128
+	// enoughRacks is the same bound while a rack with fewer replicas may be found; it covers a
+	// failure domain of the target size (222 workers).
+	enoughRacks = 256
 )
 
 // query is one search for a worker.
@@ -88,6 +91,9 @@
 		return
 	}
 	q.job = c.jobs[j].perRack
+	if c.jobs[j].count < c.inRacks {
+		return // fewer replicas than racks: some rack has none
+	}
 	q.least = math.MaxInt32
 	for i, n := range q.job {
 		if c.racks[i].workers > 0 {
@@ -118,14 +124,14 @@
 	for rows != 0 {
 		r := bits.TrailingZeros64(rows)
 		rows &= rows - 1
-		if c.settled(q, g.bound(q.need, r, col)) {
+		if q.settled(g.bound(q.need, r, col)) {
 			return
 		}
 		columns := l.columns[r] >> col << col
 		for columns != 0 {
 			k := bits.TrailingZeros64(columns)
 			columns &= columns - 1
-			if c.settled(q, g.bound(q.need, r, k)) {
+			if q.settled(g.bound(q.need, r, k)) {
 				break
 			}
 			c.searchBucket(q, l.head[r*buckets+k])
@@ -134,10 +140,14 @@
 }
 
 // settled reports whether no worker with at least this score can replace the best one.
-func (c *Cell) settled(q *query, bound float64) bool {
-	if q.best == none || q.count > q.least && q.seen < enough {
+// Workers with an equal score can: the one that was added first is taken.
+func (q *query) settled(bound float64) bool {
+	if q.best == none {
 		return false
 	}
+	if q.count > q.least {
+		return q.seen >= enoughRacks
+	}
 	return bound > q.score || q.seen >= enough
 }
 
@@ -173,10 +183,15 @@
 
 func fourth(x float64) float64 { return x * x * x * x }
 
-// searchBucket compares the workers of one bucket. It goes past perBucket workers
-// only while none is found, so that a task is never refused when a worker could hold it.
+// searchBucket compares the workers of one bucket. It goes past perBucket workers while none
+// is found, so that a task is never refused when a worker could hold it, and while a rack
+// with fewer replicas may be found.
 func (c *Cell) searchBucket(q *query, i int32) {
-	for n := 0; i != none && (n < perBucket || q.best == none); n++ {
+	for n := 0; i != none; n++ {
+		spread := q.count > q.least && q.seen < enoughRacks
+		if n >= perBucket && q.best != none && !spread {
+			return
+		}
 		w := &c.workers[i]
 		c.consider(q, i, w)
 		i = w.next
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -1,6 +1,8 @@
 package place_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,17 +84,187 @@
 	assert.Equal(t, c.Place(epoch, long).Reason.Code, place.Placed)
 }
 
-// Guards against preemption of the wrong class and of tasks that lose more work.
-func TestPreemptStopsTheDeferrableTaskThatLosesLeast(t *testing.T) {
+// Guards against a start in the past when a task runs longer than was learned.
+func TestReservationExpectsOverdueTasksToGoOn(t *testing.T) {
+	c := cellOf(1, host)
+	late := batch("a", 10, 1)
+	late.RunTime = time.Minute
+	assert.Equal(t, c.Place(epoch, late).Reason.Code, place.Placed)
+	now := epoch.Add(90 * time.Second)
+	r := c.Reserve(now, "wide", []place.Task{batch("b", 16, 1)})
+	assert.Assert(t, r.Held)
+	assert.Equal(t, r.Start, now.Add(30*time.Second))
+}
+
+// Guards against preemption of the wrong class, of services and of tasks that lose more work.
+func TestPreemptStopsTheLeastValuableTask(t *testing.T) {
+	type running struct {
+		class place.Class
+		kind  place.Kind
+		saved time.Duration
+		cores int64
+	}
+	const b, svc, gang = place.Batch, place.Service, place.AllAtOnce
+	for name, test := range map[string]struct {
+		running []running
+		victims []string
+	}{
+		"deferrable before normal":   {[]running{{place.Normal, b, 50, 10}, {place.Deferrable, b, 0, 10}}, []string{"0001"}},
+		"deferrable on the same one": {[]running{{place.Normal, b, 50, 8}, {place.Deferrable, b, 0, 8}}, []string{"0001"}},
+		"least lost work":            {[]running{{place.Deferrable, b, 10, 10}, {place.Deferrable, b, 50, 10}}, []string{"0001"}},
+		"none that is not needed":    {[]running{{place.Deferrable, b, 50, 2}, {place.Deferrable, b, 0, 14}}, []string{"0001"}},
+		"services last":              {[]running{{place.Deferrable, svc, 50, 10}, {place.Normal, b, 0, 10}}, []string{"0001"}},
+		"whole all-at-once job":      {[]running{{place.Deferrable, gang, 50, 10}, {place.Deferrable, gang, 50, 10}}, []string{"0000", "0001"}},
+		"never urgent":               {[]running{{place.Urgent, b, 0, 10}, {place.Urgent, svc, 0, 10}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := cellOf(1, host)
+			n, used := 0, int64(0)
+			for i, r := range test.running {
+				if used += r.cores; used > 16 {
+					n, used = n+1, r.cores
+					c.SetWorker(place.Worker{Name: "w" + digits(n), Capacity: host})
+				}
+				task := batch(digits(i), r.cores, 1)
+				task.Job, task.Class, task.Kind, task.Started = "j", r.class, r.kind, epoch
+				assert.NilError(t, c.Adopt(task, "w"+digits(n)))
+				assert.Assert(t, c.Checkpoint(task.ID, epoch.Add(r.saved*time.Second)))
+			}
+			urgent := batch("u", 8, 1)
+			urgent.Class = place.Urgent
+			_, victims, ok := c.Preempt(epoch.Add(time.Minute), urgent)
+			assert.Equal(t, ok, test.victims != nil)
+			assert.DeepEqual(t, victims, test.victims)
+			urgent.Class = place.Normal
+			_, _, ok = c.Preempt(epoch.Add(time.Minute), urgent)
+			assert.Assert(t, !ok, "a normal task preempts")
+		})
+	}
+}
+
+// Guards against a refusal when many workers of the bucket are too small and one is not.
+func TestPlaceFindsTheOnlyWorkerOfACrowdedBucket(t *testing.T) {
+	c := cellOf(300, place.Resources{CPUMillis: 1_000, MemoryMB: 1_000})
+	c.SetWorker(place.Worker{Name: "large", Capacity: place.Resources{CPUMillis: 64_000, MemoryMB: 64_000}})
+	c.SetWorker(place.Worker{Name: "fits", Capacity: place.Resources{CPUMillis: 1_001, MemoryMB: 1_001}})
+	task := batch("a", 0, 0)
+	task.Need = place.Resources{CPUMillis: 1_001, MemoryMB: 1_001}
+	assert.Equal(t, c.Place(epoch, task).Worker, "fits")
+	c.Cordon("large", true)
+	c.Release("a")
+	for i := 300; i > 0; i-- {
+		c.SetWorker(place.Worker{Name: "v" + digits(i), Capacity: place.Resources{CPUMillis: 1_000, MemoryMB: 1_000}})
+	}
+	assert.Equal(t, c.Place(epoch, task).Worker, "fits")
+}
+
+// Guards against replicas of one service that share a rack while another rack has none.
+func TestServicesSpreadOverRacks(t *testing.T) {
+	c := cellOf(32, host)
+	perRack := map[string]int{}
+	for i := range 10 {
+		task := batch(digits(i), 1, 1)
+		task.Kind, task.Job = place.Service, "s"
+		d := c.Place(epoch, task)
+		n := 0
+		_, _ = fmt.Sscanf(d.Worker, "w%d", &n)
+		perRack["r"+digits(n/8)]++
+	}
+	assert.DeepEqual(t, perRack, map[string]int{"r0000": 3, "r0001": 3, "r0002": 2, "r0003": 2})
+}
+
+// Guards against tasks without accelerators that make accelerators unusable.
+func TestAcceleratorsAreSpared(t *testing.T) {
 	c := cellOf(2, host)
-	for i, class := range []place.Class{place.Normal, place.Deferrable, place.Deferrable, place.Normal} {
-		task := batch(digits(i), 8, 1)
-		task.Class = class
-		assert.Equal(t, c.Place(epoch.Add(time.Duration(i)*time.Second), task).Reason.Code, place.Placed)
+	c.SetWorker(place.Worker{Name: "acc", Rack: "r", Capacity: place.Resources{CPUMillis: 16_000, MemoryMB: 65_536, Accelerators: 4}})
+	for i := range 8 {
+		assert.Assert(t, c.Place(epoch, batch(digits(i), 4, 16)).Worker != "acc")
+	}
+	assert.Equal(t, c.Place(epoch, batch("more", 4, 16)).Worker, "acc")
+}
+
+// Guards against an impossible job that waits forever, and against a wrong reason.
+func TestPossibleNamesTheReason(t *testing.T) {
+	c := cellOf(3, host)
+	for want, test := range map[string]struct {
+		cores, gb, acc int64
+		count          int
+	}{
+		"placed": {8, 32, 0, 6},
+		"needs 7 tasks at the same time; the workers hold at most 6 of this size": {8, 32, 0, 7},
+		"needs 66560 memory_mb; the largest worker has 65536":                     {1, 65, 0, 1},
+		"needs 1 accelerators; the largest worker has 0":                          {1, 1, 1, 1},
+	} {
+		need := place.Resources{CPUMillis: test.cores * 1000, MemoryMB: test.gb * 1024, Accelerators: test.acc}
+		ok, reason := c.Possible(need, test.count)
+		assert.Equal(t, reason.String(), want)
+		assert.Equal(t, ok, want == "placed")
+	}
+}
+
+// Guards against idle hardware without a cause.
+func TestCapacityExplainsIdleHardware(t *testing.T) {
+	c := cellOf(3, host)
+	assert.NilError(t, c.Adopt(batch("a", 16, 16), "w0000"))
+	assert.NilError(t, c.Adopt(batch("b", 4, 16), "w0001"))
+	c.Cordon("w0002", true)
+	rep := c.Capacity()
+	var idle place.Resources
+	for _, r := range rep.Sum.Reasons {
+		idle = idle.Add(r.Amount)
+	}
+	assert.Equal(t, idle, rep.Sum.Idle)
+	assert.Equal(t, rep.Sum.Idle, rep.Sum.Total.Sub(rep.Sum.Granted))
+	assert.Equal(t, rep.Sum.Reasons[place.Cordoned].Amount, host)
+	assert.Equal(t, rep.Sum.Reasons[place.NoCPU].Amount.MemoryMB, int64(48*1024+48*1024-19_660))
+	assert.Equal(t, rep.Racks[0].Stranded, rep.Sum.Stranded)
+}
+
+// Guards against actions out of order and against stopping more than the overload needs.
+func TestOverloadActsOnTheLeastUrgentFirst(t *testing.T) {
+	cell := func() *place.Cell {
+		c := cellOf(1, host)
+		for id, k := range map[string]struct {
+			class place.Class
+			kind  place.Kind
+		}{
+			"d": {place.Deferrable, place.Batch}, "n": {place.Normal, place.Batch},
+			"s": {place.Normal, place.Service}, "u": {place.Urgent, place.Batch},
+		} {
+			task := batch(id, 4, 8)
+			task.Class, task.Kind = k.class, k.kind
+			assert.NilError(t, c.Adopt(task, "w0000"))
+		}
+		return c
+	}
+	use := func(id string, cpu, mem int64) place.Usage {
+		return place.Usage{Task: id, Used: place.Resources{CPUMillis: cpu, MemoryMB: mem}}
+	}
+	stop := func(id string) []place.Action {
+		return []place.Action{{Kind: place.Checkpoint, Task: id}, {Kind: place.Stop, Task: id}}
+	}
+	throttle := func(id string, cpu int64) []place.Action {
+		return []place.Action{{Kind: place.Throttle, Task: id, CPUMillis: cpu}}
+	}
+	for name, test := range map[string]struct {
+		usage []place.Usage
+		want  [][]place.Action
+	}{
+		"none":      {[]place.Usage{use("d", 5_000, 9_000), use("n", 3_000, 7_000)}, nil},
+		"processor": {[]place.Usage{use("u", 5_000, 8_192)}, [][]place.Action{throttle("d", 3_000)}},
+		"processor of several": {
+			[]place.Usage{use("u", 12_000, 8_192)},
+			[][]place.Action{throttle("d", 400), stop("d"), throttle("n", 400), stop("n")},
+		},
+		"memory":            {[]place.Usage{use("u", 4_000, 9_000)}, [][]place.Action{stop("d")}},
+		"memory of several": {[]place.Usage{use("u", 4_000, 20_000)}, [][]place.Action{stop("d"), stop("n")}},
+		"urgent last": {
+			[]place.Usage{use("u", 4_000, 50_000)},
+			[][]place.Action{stop("d"), stop("n"), stop("s"), stop("u")},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, cell().Overloaded(epoch, "w0000", test.usage), slices.Concat(test.want...))
+		})
 	}
-	urgent := batch("u", 8, 1)
-	urgent.Class = place.Urgent
-	_, victims, ok := c.Preempt(epoch.Add(time.Minute), urgent)
-	assert.Assert(t, ok)
-	assert.DeepEqual(t, victims, []string{"0002"})
 }
--- a/pkg/place/preempt.go
+++ b/pkg/place/preempt.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -44,67 +43,107 @@
 	if t.Class != Urgent || t.Need.negative() {
 		return "", nil, false
 	}
-	var best []victim
+	q := clearing{need: t.Need, lasts: c.res != nil && !c.res.mayBackfill(now, &t)}
+	best, spare := c.victimBuf[0][:0], c.victimBuf[1][:0]
 	at := none
 	for i := range c.workers {
 		w := &c.workers[i]
 		if !w.used || w.cordoned || !t.Need.Fits(w.capacity) {
 			continue
 		}
-		if set, enough := c.clear(now, w, &t); enough && (at == none || cheaper(set, best)) {
-			best, at = set, int32(i)
+		set, enough := c.clear(now, w, &q, spare[:0])
+		if enough && (at == none || cheaper(set, best)) {
+			best, set = set, best
+			at = int32(i)
 		}
+		spare = set
 	}
+	c.victimBuf = [2][]victim{best, spare}
 	if at == none {
 		return "", nil, false
 	}
 	return c.workers[at].name, c.idsOf(best), true
 }
 
-// clear chooses the tasks to stop on one worker.
-func (c *Cell) clear(now time.Time, w *worker, t *Task) ([]victim, bool) {
-	var all []victim
+// clearing is the search for tasks to stop on one worker.
+type clearing struct {
+	need Resources
+	// lasts is set when the task may not use capacity held for the reservation.
+	lasts bool
+	held  Resources
+	free  Resources
+	// after is what is free at the start of the reservation.
+	after    Resources
+	reserved bool
+}
+
+func (q *clearing) room() bool {
+	return q.need.Fits(q.free) && !(q.lasts && q.reserved && !q.need.Fits(q.after.Sub(q.held)))
+}
+
+func (q *clearing) stop(t *task) {
+	q.free = q.free.Add(t.Need)
+	if !t.ends {
+		q.after = q.after.Add(t.Need)
+	}
+}
+
+func (q *clearing) keep(t *task) {
+	q.free = q.free.Sub(t.Need)
+	if !t.ends {
+		q.after = q.after.Sub(t.Need)
+	}
+}
+
+// clear appends to set the tasks to stop on one worker and reports whether they suffice.
+func (c *Cell) clear(now time.Time, w *worker, q *clearing, set []victim) ([]victim, bool) {
+	q.held, q.free, q.after, q.reserved = w.held, w.free, w.after, w.reserved
 	for i := w.first; i != none; i = c.tasks[i].next {
 		if tier := tierOf(&c.tasks[i].Task); tier < tiers {
-			all = append(all, victim{i, tier, c.lost(now, i)})
+			set = append(set, victim{i, tier, c.lost(now, i)})
 		}
 	}
-	slices.SortFunc(all, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.lost, b.lost),
-			cmp.Compare(c.tasks[a.task].ID, c.tasks[b.task].ID))
-	})
-	lasts := c.res != nil && w.reserved && !c.res.mayBackfill(now, t)
-	free, after := w.free, w.after
-	room := func() bool {
-		return t.Need.Fits(free) && (!lasts || t.Need.Fits(after.Sub(w.held)))
-	}
+	c.sortVictims(set)
 	n := 0
-	for ; n < len(all) && !room(); n++ {
-		free = free.Add(c.tasks[all[n].task].Need)
-		if !c.tasks[all[n].task].ends {
-			after = after.Add(c.tasks[all[n].task].Need)
+	for ; n < len(set) && !q.room(); n++ {
+		q.stop(&c.tasks[set[n].task])
+	}
+	if !q.room() {
+		return set, false
+	}
+	return c.needed(q, set[:n]), true
+}
+
+// sortVictims sorts by insertion: a worker holds few tasks, and the calls of a general sort
+// took most of the time of Preempt.
+func (c *Cell) sortVictims(set []victim) {
+	for i := 1; i < len(set); i++ {
+		for k := i; k > 0 && c.before(&set[k], &set[k-1]); k-- {
+			set[k], set[k-1] = set[k-1], set[k]
 		}
 	}
-	if !room() {
-		return nil, false
+}
+
+func (c *Cell) before(a, b *victim) bool {
+	if a.tier != b.tier {
+		return a.tier < b.tier
 	}
-	return c.spare(all[:n], &free, &after, room), true
+	if a.lost != b.lost {
+		return a.lost < b.lost
+	}
+	return c.tasks[a.task].ID < c.tasks[b.task].ID
 }
 
-// spare takes out the victims that turn out not to be needed, the dearest first.
-func (c *Cell) spare(set []victim, free, after *Resources, room func() bool) []victim {
+// needed takes out the victims that turn out not to be needed, the dearest first.
+func (c *Cell) needed(q *clearing, set []victim) []victim {
 	for n := len(set) - 1; n >= 0; n-- {
 		t := &c.tasks[set[n].task]
-		f, a := *free, *after
-		*free = f.Sub(t.Need)
-		if !t.ends {
-			*after = a.Sub(t.Need)
-		}
-		if room() {
+		q.keep(t)
+		if q.room() {
 			set = slices.Delete(set, n, n+1)
 			continue
 		}
-		*free, *after = f, a
+		q.stop(t)
 	}
 	return set
 }
--- a/pkg/place/reason.go
+++ b/pkg/place/reason.go
@@ -24,7 +24,7 @@
 	Invalid
 	// OtherReservation means that another job holds the reservation.
 	OtherReservation
-	// NeverFree means that services and tasks without an end occupy what the job needs.
+	// NeverFree means that the job does not fit even when everything but the services has ended.
 	NeverFree
 )
 
@@ -86,7 +86,7 @@
 	case OtherReservation:
 		return "another all-at-once job holds the reservation"
 	case NeverFree:
-		return "services occupy what the job needs"
+		return "the services and cordoned workers leave too little for the job, even when all other tasks have ended"
 	}
 	return "unknown"
 }
--- a/pkg/place/reserve.go
+++ b/pkg/place/reserve.go
@@ -38,6 +38,8 @@
 	tasks []Task
 	// workers has the planned worker of each task.
 	workers []int32
+	// ends has the running tasks in the order of their expected ends; dropped once applied.
+	ends []ending
 }
 
 // covers reports whether all tasks belong to the job that holds the reservation.
@@ -66,24 +68,62 @@
 
 // Reserve holds workers for an all-at-once job that does not fit yet. Only one job holds
 // a reservation; for any other job the answer has Held unset and OtherReservation.
-// A repeated call by the same job plans again with the present state. The reservation ends
-// with a successful PlaceAll of the job or with Unreserve.
+// A repeated call by the same job plans again with the present state and keeps the old plan
+// unless the new one starts earlier or the old one can not be met. The reservation ends
+// with a successful PlaceAll of the job, with Unreserve or with RemoveWorker of a planned worker.
+// At Start the caller repeats Reserve, stops and releases the Victims and calls PlaceAll.
 func (c *Cell) Reserve(now time.Time, name string, ts []Task) Reservation {
 	if c.res != nil && c.res.job != name {
 		return Reservation{Job: name, Reason: Reason{Code: OtherReservation}}
 	}
-	old := c.res
-	c.suspend()
 	plan, reason := c.plan(now, name, ts)
-	if plan == nil {
-		c.resume(old)
+	switch {
+	case c.res != nil && c.res.plans(ts) && c.onTime(now) && (plan == nil || !plan.start.Before(c.res.start)):
+		c.res.start = latest(now, c.res.start)
+	case plan == nil:
+		c.dropReservation()
 		return Reservation{Job: name, Reason: reason}
+	default:
+		c.suspend()
+		c.resume(plan)
 	}
-	c.resume(plan)
 	return Reservation{
-		Job: name, Held: true, Start: plan.start, Known: plan.known,
-		Workers: c.names(plan.workers), Victims: c.victims(),
+		Job: name, Held: true, Start: c.res.start, Known: c.res.known,
+		Workers: c.names(c.res.workers), Victims: c.victims(),
+	}
+}
+
+// plans reports whether the reservation is for exactly these tasks.
+func (r *reservation) plans(ts []Task) bool {
+	return slices.EqualFunc(r.tasks, ts, func(a, b Task) bool { return a.ID == b.ID && a.Need == b.Need })
+}
+
+// onTime reports whether the planned workers will hold the tasks at the planned start, or
+// hold them now when that time is over, once the backfilled tasks are stopped.
+func (c *Cell) onTime(now time.Time) bool {
+	for _, i := range c.res.workers {
+		w := &c.workers[i]
+		room := w.after
+		if !now.Before(c.res.start) {
+			room = w.free
+			for t := w.first; t != none; t = c.tasks[t].next {
+				if c.tasks[t].backfill {
+					room = room.Add(c.tasks[t].Need)
+				}
+			}
+		}
+		if w.cordoned || !w.held.Fits(room) {
+			return false
+		}
 	}
+	return true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Unreserve ends the reservation of the job and reports whether it held one.
@@ -112,10 +152,8 @@
 
 // plan finds the earliest time at which all tasks fit when running tasks end as expected.
 func (c *Cell) plan(now time.Time, name string, ts []Task) (*reservation, Reason) {
-	for i := range ts {
-		if ok, reason := c.Possible(ts[i].Need, 1); !ok {
-			return nil, reason
-		}
+	if reason := c.holdable(ts); reason.Code != Placed {
+		return nil, reason
 	}
 	order := bySize(ts, &c.grid)
 	free := make([]Resources, len(c.workers))
@@ -137,30 +175,32 @@
 	if n == len(ends) && !fits(n) {
 		return nil, Reason{Code: NeverFree}
 	}
-	plan := &reservation{job: name, start: now, known: true, tasks: slices.Clone(ts)}
+	plan := &reservation{job: name, start: now, known: true, tasks: slices.Clone(ts), ends: ends}
 	plan.workers = c.pack(ts, order, release(n))
-	c.mark(plan, ends[:n])
+	for _, e := range ends[:n] {
+		plan.start = latest(plan.start, e.at)
+		used := slices.Contains(plan.workers, c.tasks[e.task].worker)
+		plan.known = plan.known && (e.known || !used)
+	}
 	return plan, Reason{}
 }
 
-// mark sets the start of the plan and flags the tasks that are expected to end by then.
-func (c *Cell) mark(plan *reservation, ends []ending) {
-	for i := range c.tasks {
-		c.tasks[i].ends = false
+// holdable reports why the empty cell could not hold the tasks, or Placed.
+func (c *Cell) holdable(ts []Task) Reason {
+	if len(ts) == 0 {
+		return Reason{Code: Invalid}
 	}
-	for _, e := range ends {
-		if e.at.After(plan.start) {
-			plan.start = e.at
+	for i := range ts {
+		if ok, reason := c.Possible(ts[i].Need, 1); !ok {
+			return reason
 		}
-		plan.known = plan.known && e.known
 	}
-	for _, i := range c.byID {
-		t := &c.tasks[i]
-		t.ends = t.backfill || t.RunTime > 0 && t.Kind != Service && !endOf(t.Started, &t.Task).After(plan.start)
-	}
-	for _, e := range ends {
-		c.tasks[e.task].ends = true
+	smallest := ts[0].Need
+	for i := range ts {
+		smallest = smallest.Min(ts[i].Need)
 	}
+	_, reason := c.Possible(smallest, len(ts))
+	return reason
 }
 
 // pack assigns each task to the worker with the tightest fit, or returns nil when one does not fit.
@@ -186,7 +226,7 @@
 }
 
 func (c *Cell) endings(now time.Time) []ending {
-	var ends []ending
+	ends := make([]ending, 0, len(c.byID))
 	unknown := c.UnknownRunTime
 	if unknown <= 0 {
 		unknown = defaultUnknownRunTime
@@ -232,12 +272,27 @@
 	c.res = nil
 }
 
+// mark flags the running tasks that are expected to end by the start of a new plan.
+func (c *Cell) mark(r *reservation) {
+	if r.ends == nil {
+		return
+	}
+	for i := range c.tasks {
+		c.tasks[i].ends = false
+	}
+	for _, e := range r.ends {
+		c.tasks[e.task].ends = !e.at.After(r.start)
+	}
+	r.ends = nil
+}
+
 // resume holds the workers of the plan.
 func (c *Cell) resume(r *reservation) {
 	c.res = r
 	if r == nil {
 		return
 	}
+	c.mark(r)
 	for i, w := range r.workers {
 		wk := &c.workers[w]
 		wk.reserved = true
