health: separate proof of a broken job from a bounded crash loop

Cause: a failure of a job that was already known as broken, used as the probe of a quarantined worker, doubled the quarantine of a healthy worker; ten failures on one worker were taken as proof against the job. Change: only failures on 3 workers prove that a job is at fault and take its failures from the workers; ten failures in a row only delay it. A probe with a broken job frees the probe.

--- a/pkg/health/tracker.go
+++ b/pkg/health/tracker.go
@@ -37,8 +37,8 @@
 	// JobWorkers is on how many workers a job has to fail, without a success in between,
 	// to be backed off. Default 3.
 	JobWorkers int
-	// JobFailures in a row back a job off on any number of workers, which matters when the
-	// cell has fewer than JobWorkers. Default 10.
+	// JobFailures in a row back a job off on any number of workers, which bounds a crash loop
+	// in a cell of fewer than JobWorkers workers. They count against workers all the same. Default 10.
 	JobFailures int
 	// Backoff is the first delay of a job; it doubles with each failure after the delay
 	// up to MaxBackoff. Defaults 1 s and 5 min.
@@ -68,22 +68,23 @@
 	probed time.Time
 }
 
-// Failed records that a task of the job failed on the worker. A failure of a job that is
-// backed off does not count against the worker, and one on a quarantined worker does not
-// count against the job.
+// Failed records that a task of the job failed on the worker. Once a job failed on
+// JobWorkers workers its failures do not count against workers, the earlier ones included;
+// once a worker is quarantined, failures on it do not count against jobs, the earlier ones included.
 func (t *Tracker) Failed(now time.Time, worker, job string) {
 	w := t.workers.touch(worker, t.maxEntries())
 	j := t.jobs.touch(job, t.maxEntries())
-	if w.delay > 0 {
-		t.failProbe(now, w)
+	if t.atFault(j) {
+		t.delayJob(now, j)
+		w.probed = time.Time{}
 		return
 	}
-	if j.delay > 0 {
-		t.extend(now, j)
+	if w.delay > 0 {
+		t.failProbe(now, w)
 		return
 	}
 	t.countJob(now, j, worker)
-	if j.delay > 0 {
+	if t.atFault(j) {
 		t.forgive(j)
 		return
 	}
@@ -100,13 +101,9 @@
 	w.probed = time.Time{}
 }
 
-// extend doubles the back-off of a job that failed after its delay.
-func (t *Tracker) extend(now time.Time, j *record) {
-	if now.Before(j.until) {
-		return
-	}
-	j.delay = min(2*j.delay, orDuration(t.MaxBackoff, defaultMaxBackoff))
-	j.until = now.Add(j.delay)
+// atFault reports whether the job failed on so many workers that they are not the cause.
+func (t *Tracker) atFault(j *record) bool {
+	return len(j.others) >= orInt(t.JobWorkers, defaultJobWorkers)
 }
 
 func (t *Tracker) countJob(now time.Time, j *record, worker string) {
@@ -114,14 +111,26 @@
 	if !slices.Contains(j.others, worker) {
 		j.others = append(j.others, worker)
 	}
-	if len(j.others) < orInt(t.JobWorkers, defaultJobWorkers) && j.failures < orInt(t.JobFailures, defaultJobFailures) {
+	if t.atFault(j) || j.failures >= orInt(t.JobFailures, defaultJobFailures) {
+		t.delayJob(now, j)
+	}
+}
+
+// delayJob starts the back-off of a job, or doubles it when the job failed after its delay;
+// failures during the delay are of tasks that started before.
+func (t *Tracker) delayJob(now time.Time, j *record) {
+	switch {
+	case j.delay == 0:
+		j.delay = orDuration(t.Backoff, defaultBackoff)
+	case now.Before(j.until):
 		return
+	default:
+		j.delay = min(2*j.delay, orDuration(t.MaxBackoff, defaultMaxBackoff))
 	}
-	j.delay = orDuration(t.Backoff, defaultBackoff)
 	j.until = now.Add(j.delay)
 }
 
-// forgive takes the failures of a job that is backed off from the workers they were counted against.
+// forgive takes the failures of a job that is at fault from the workers they were counted against.
 func (t *Tracker) forgive(j *record) {
 	for _, name := range j.others {
 		if w := t.workers.look(name); w != nil && w.delay == 0 {
@@ -145,9 +154,14 @@
 // acquit takes the failures on a quarantined worker from the jobs they were counted against.
 func (t *Tracker) acquit(w *record) {
 	for _, name := range w.others {
-		if j := t.jobs.look(name); j != nil && j.delay == 0 {
-			j.others = slices.DeleteFunc(j.others, func(worker string) bool { return worker == w.name })
-			j.failures = max(j.failures-1, 0)
+		j := t.jobs.look(name)
+		if j == nil || t.atFault(j) {
+			continue
+		}
+		j.others = slices.DeleteFunc(j.others, func(worker string) bool { return worker == w.name })
+		j.failures = max(j.failures-1, 0)
+		if j.failures < orInt(t.JobFailures, defaultJobFailures) {
+			j.delay = 0
 		}
 	}
 }
@@ -195,7 +209,7 @@
 	return t.workers.delayed()
 }
 
-// BackedOff returns the names of the jobs that failed on too many workers, sorted.
+// BackedOff returns the names of the jobs that are backed off, sorted.
 func (t *Tracker) BackedOff() []string {
 	return t.jobs.delayed()
 }
--- a/pkg/place/packing_test.go
+++ b/pkg/place/packing_test.go
@@ -51,7 +51,7 @@
 
 // strandingScore is best fit plus the imbalance of what is left; accelerators are spared first.
 func strandingScore(weight float64) func(left, need, capacity place.Resources) float64 {
-	return func(left, need, capacity place.Resources) float64 {
+	return func(left, _, capacity place.Resources) float64 {
 		x := float64(left.CPUMillis) / float64(capacity.CPUMillis)
 		y := float64(left.MemoryMB) / float64(capacity.MemoryMB)
 		return 10*float64(left.Accelerators) + x + y + weight*math.Abs(x-y)
--- a/pkg/place/preempt.go
+++ b/pkg/place/preempt.go
@@ -78,7 +78,10 @@
 }
 
 func (q *clearing) room() bool {
-	return q.need.Fits(q.free) && !(q.lasts && q.reserved && !q.need.Fits(q.after.Sub(q.held)))
+	if !q.need.Fits(q.free) {
+		return false
+	}
+	return !q.lasts || !q.reserved || q.need.Fits(q.after.Sub(q.held))
 }
 
 func (q *clearing) stop(t *task) {
