--- a/pkg/place/cell.go
+++ b/pkg/place/cell.go
@@ -48,11 +48,21 @@
 
 	racks  []rack
 	byRack map[string]int32
+	// inRacks is the number of racks that have a worker.
+	inRacks int32
 
 	grid  index
 	res   *reservation
 	fails failures
-	open  int
+
+	// victimBuf has the scratch lists of Preempt.
+	victimBuf [2][]victim
+
+	// open is the number of workers that are not cordoned.
+	open int
+	// total and granted are sums over all workers.
+	total   Resources
+	granted Resources
 }
 
 // worker is one slot of the worker slab.
@@ -127,8 +137,9 @@
 		name: w.Name, capacity: w.Capacity, free: w.Capacity,
 		rack: c.rackOf(w.Rack), first: none, slot: none, used: true,
 	}
-	c.racks[c.workers[i].rack].workers++
+	c.countRack(c.workers[i].rack, 1)
 	c.open++
+	c.total = c.total.Add(w.Capacity)
 	c.fitGrid(w.Capacity)
 	c.link(i)
 }
@@ -140,6 +151,7 @@
 	wk.free = wk.free.Add(change)
 	wk.after = wk.after.Add(change)
 	wk.capacity = w.Capacity
+	c.total = c.total.Add(change)
 	if rk := c.rackOf(w.Rack); rk != wk.rack {
 		c.moveRack(i, rk)
 	}
@@ -156,8 +168,8 @@
 			c.jobs[j].perRack[to]++
 		}
 	}
-	c.racks[wk.rack].workers--
-	c.racks[to].workers++
+	c.countRack(wk.rack, -1)
+	c.countRack(to, 1)
 	wk.rack = to
 }
 
@@ -182,7 +194,8 @@
 		c.open--
 	}
 	c.unlink(i)
-	c.racks[c.workers[i].rack].workers--
+	c.total = c.total.Sub(c.workers[i].capacity)
+	c.countRack(c.workers[i].rack, -1)
 	delete(c.byName, name)
 	c.workers[i] = worker{slot: none, first: none}
 	c.freeWorker = append(c.freeWorker, i)
@@ -255,6 +268,7 @@
 	}
 	c.unlink(t.worker)
 	w.free = w.free.Sub(growth)
+	c.granted = c.granted.Add(growth)
 	if !t.ends {
 		w.after = w.after.Sub(growth)
 	}
@@ -301,6 +315,7 @@
 	wk.first = i
 	c.joinJob(i)
 	wk.free = wk.free.Sub(t.Need)
+	c.granted = c.granted.Add(t.Need)
 	c.holdAfter(wk, slot)
 	c.relink(w)
 }
@@ -320,6 +335,7 @@
 	}
 	c.leaveJob(i)
 	wk.free = wk.free.Add(t.Need)
+	c.granted = c.granted.Sub(t.Need)
 	if !t.ends {
 		wk.after = wk.after.Add(t.Need)
 	}
@@ -424,3 +440,15 @@
 	}
 	return i
 }
+
+// countRack adds change, 1 or -1, to the workers of a rack; inRacks counts the racks with workers.
+func (c *Cell) countRack(i, change int32) {
+	r := &c.racks[i]
+	if r.workers == 0 {
+		c.inRacks++
+	}
+	r.workers += change
+	if r.workers == 0 {
+		c.inRacks--
+	}
+}
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -12,6 +12,9 @@
 	perBucket = 16
 	// enough bounds the workers compared for one task once one is found.
 	enough = 128
+	// enoughRacks is the same bound while a rack with fewer replicas may be found; it covers a
+	// failure domain of the target size (222 workers).
+	enoughRacks = 256
 )
 
 // query is one search for a worker.
@@ -61,6 +64,7 @@
 	if t.Kind == Service {
 		c.spread(&q, t.Job)
 	}
+	c.weigh()
 	c.search(&q)
 	if q.best != none {
 		return q.best, Reason{}
@@ -87,6 +91,9 @@
 		return
 	}
 	q.job = c.jobs[j].perRack
+	if c.jobs[j].count < c.inRacks {
+		return // fewer replicas than racks: some rack has none
+	}
 	q.least = math.MaxInt32
 	for i, n := range q.job {
 		if c.racks[i].workers > 0 {
@@ -117,14 +124,14 @@
 	for rows != 0 {
 		r := bits.TrailingZeros64(rows)
 		rows &= rows - 1
-		if c.settled(q, g.bound(q.need, r, col)) {
+		if q.settled(g.bound(q.need, r, col)) {
 			return
 		}
 		columns := l.columns[r] >> col << col
 		for columns != 0 {
 			k := bits.TrailingZeros64(columns)
 			columns &= columns - 1
-			if c.settled(q, g.bound(q.need, r, k)) {
+			if q.settled(g.bound(q.need, r, k)) {
 				break
 			}
 			c.searchBucket(q, l.head[r*buckets+k])
@@ -133,29 +140,58 @@
 }
 
 // settled reports whether no worker with at least this score can replace the best one.
-func (c *Cell) settled(q *query, bound float64) bool {
-	if q.best == none || q.count > q.least && q.seen < enough {
+// Workers with an equal score can: the one that was added first is taken.
+func (q *query) settled(bound float64) bool {
+	if q.best == none {
 		return false
 	}
-	return bound >= q.score || q.seen >= enough
+	if q.count > q.least {
+		return q.seen >= enoughRacks
+	}
+	return bound > q.score || q.seen >= enough
 }
 
 // bound is the lowest score that a worker in the bucket can have.
 func (g *index) bound(need Resources, row, col int) float64 {
-	cpu := max(int64(row)<<g.cpuShift-need.CPUMillis, 0)
-	mem := max(int64(col)<<g.memShift-need.MemoryMB, 0)
-	return score(float64(cpu)*g.perCPU, float64(mem)*g.perMem)
+	return g.score(Resources{
+		CPUMillis: max(int64(row)<<g.cpuShift-need.CPUMillis, 0),
+		MemoryMB:  max(int64(col)<<g.memShift-need.MemoryMB, 0),
+	})
+}
+
+// score rates what would stay free on a worker; lower is better. It is best fit by the sum
+// of what is left in fractions of the largest worker, each weighed by its scarcity.
+func (g *index) score(left Resources) float64 {
+	return float64(left.CPUMillis)*g.cpuCost + float64(left.MemoryMB)*g.memCost
 }
 
-// score rates what would stay free on a worker, as fractions of the largest worker; lower is better.
-func score(cpu, mem float64) float64 {
-	return cpu + mem
+// weigh sets the weights of the score: the fourth power of the granted share of each
+// dimension. A dimension that nobody lacks then hardly decides where a task goes; powers 1
+// and 2 packed less, 16 and 32 packed less on workers with little memory (docs/policy.md).
+func (c *Cell) weigh() {
+	cpu := share(c.granted.CPUMillis, c.total.CPUMillis)
+	mem := share(c.granted.MemoryMB, c.total.MemoryMB)
+	most := max(cpu, mem)
+	c.grid.cpuCost = c.grid.perCPU * fourth(cpu/most)
+	c.grid.memCost = c.grid.perMem * fourth(mem/most)
 }
 
-// searchBucket compares the workers of one bucket. It goes past perBucket workers
-// only while none is found, so that a task is never refused when a worker could hold it.
+// share is part of whole, at least one in a million so that an empty cell weighs all dimensions.
+func share(part, whole int64) float64 {
+	return max(float64(part)/float64(max(whole, 1)), 1e-6)
+}
+
+func fourth(x float64) float64 { return x * x * x * x }
+
+// searchBucket compares the workers of one bucket. It goes past perBucket workers while none
+// is found, so that a task is never refused when a worker could hold it, and while a rack
+// with fewer replicas may be found.
 func (c *Cell) searchBucket(q *query, i int32) {
-	for n := 0; i != none && (n < perBucket || q.best == none); n++ {
+	for n := 0; i != none; n++ {
+		spread := q.count > q.least && q.seen < enoughRacks
+		if n >= perBucket && q.best != none && !spread {
+			return
+		}
 		w := &c.workers[i]
 		c.consider(q, i, w)
 		i = w.next
@@ -175,9 +211,8 @@
 	if q.job != nil {
 		count = q.job[w.rack]
 	}
-	left := w.free.Sub(q.need)
-	s := score(float64(left.CPUMillis)*c.grid.perCPU, float64(left.MemoryMB)*c.grid.perMem)
-	if q.best != none && (count > q.count || count == q.count && s >= q.score) {
+	s := c.grid.score(w.free.Sub(q.need))
+	if q.best != none && (count > q.count || count == q.count && (s > q.score || s == q.score && i > q.best)) {
 		return
 	}
 	q.best, q.count, q.score = i, count, s
