--- a/pkg/queue/limits.go
+++ b/pkg/queue/limits.go
@@ -18,6 +18,10 @@
 	// Share is the guaranteed fraction of the running cost and of the queue, 0 to 1.
 	// Shares that add up to more than 1 are scaled down to 1.
 	Share float64 `json:"share"`
+	// Headroom is running cost that less urgent classes leave free, in the unit of
+	// Item.Cost, so that work of this class finds a free place while they flood.
+	// It applies when Queue.Capacity is known; 0 means none.
+	Headroom int64 `json:"headroom"`
 }
 
 // TeamLimits bounds one team over all classes.
--- a/pkg/queue/list.go
+++ b/pkg/queue/list.go
@@ -26,26 +26,29 @@
 	size        int
 }
 
-// insert puts e at its place by sequence number, searching from the back.
-func (l *list) insert(e *entry) {
+// insert puts e at its place by sequence number, searching from the back, and
+// returns the number of steps.
+func (l *list) insert(e *entry) (steps uint64) {
 	after := l.back
-	for after != nil && after.item.seq > e.item.seq {
+	for steps = 1; after != nil && after.item.seq > e.item.seq; steps++ {
 		after = after.prev
 	}
 	l.insertAfter(after, e)
+	return steps
 }
 
-// insertFromFront puts e at its place by sequence number, searching from the front.
-func (l *list) insertFromFront(e *entry) {
+// insertFromFront is insert with the search from the front.
+func (l *list) insertFromFront(e *entry) (steps uint64) {
 	before := l.front
-	for before != nil && before.item.seq < e.item.seq {
+	for steps = 1; before != nil && before.item.seq < e.item.seq; steps++ {
 		before = before.next
 	}
-	if before == nil {
-		l.insertAfter(l.back, e)
-		return
+	after := l.back
+	if before != nil {
+		after = before.prev
 	}
-	l.insertAfter(before.prev, e)
+	l.insertAfter(after, e)
+	return steps
 }
 
 // insertAfter puts e behind after, or at the front when after is nil.
--- a/pkg/queue/node.go
+++ b/pkg/queue/node.go
@@ -100,12 +100,14 @@
 // nodeHeap is a heap of nodes that know their place in it.
 type nodeHeap struct {
 	kind  int
+	steps *uint64
 	nodes []*node
 }
 
 func (h *nodeHeap) Len() int { return len(h.nodes) }
 
 func (h *nodeHeap) Less(i, j int) bool {
+	*h.steps++
 	a, b := h.nodes[i], h.nodes[j]
 	switch h.kind {
 	case byService:
--- /dev/null
+++ b/pkg/queue/property_test.go
@@ -0,0 +1,341 @@
+package queue_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/daisyrack/daisyrack/pkg/queue"
+)
+
+// TestMain prints the seed of the properties, so that every run can be repeated with -rapid.seed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := flag.Lookup("rapid.seed")
+	if seed.Value.String() == "0" {
+		_ = seed.Value.Set(strconv.FormatUint(rand.Uint64(), 10))
+	}
+	fmt.Printf("rapid.seed %s\n", seed.Value)
+	os.Exit(m.Run())
+}
+
+var modelLimits = queue.Limits{
+	Sum:         12,
+	MaxTeams:    3,
+	Class:       [queue.Classes]queue.ClassLimits{{Bound: 8, Share: 0.5}, {Share: 0.3}, {Bound: 8, Share: 0.2}},
+	DefaultTeam: queue.TeamLimits{Bound: 9},
+	Team:        map[string]queue.TeamLimits{"a": {Quota: 4, Weight: 2}},
+}
+
+// model is the plain form of the queue that the properties compare with.
+type model struct {
+	q        *queue.Queue
+	now      time.Time
+	waiting  []queue.Item // in order of arrival
+	deferred map[string]bool
+	running  []queue.Item
+	left     map[string]string // how each item left
+	ids      int
+}
+
+func (m *model) find(id string) int {
+	return slices.IndexFunc(m.waiting, func(it queue.Item) bool { return it.ID == id })
+}
+
+// leave takes an item out of the waiting ones; an item that is not there was lost or handed out twice.
+func (m *model) leave(t *rapid.T, id, how string) queue.Item {
+	i := m.find(id)
+	if i < 0 {
+		t.Fatalf("%s: item %s does not wait, it left by %q", how, id, m.left[id])
+	}
+	it := m.waiting[i]
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+	m.left[id] = how
+	delete(m.deferred, id)
+	return it
+}
+
+func (m *model) runningCost(team string) int64 {
+	cost := int64(0)
+	for _, it := range m.running {
+		if it.Team == team {
+			cost += it.Cost
+		}
+	}
+	return cost
+}
+
+// eligible returns the first item of each team and class that may run.
+func (m *model) eligible() []string {
+	seen := map[string]bool{}
+	var ids []string
+	for _, it := range m.waiting {
+		key := it.Team + it.Class.String()
+		if seen[key] || m.deferred[it.ID] || !it.Deadline.IsZero() && !m.now.Before(it.Deadline) {
+			continue
+		}
+		seen[key] = true
+		quota := modelLimits.Team[it.Team].Quota
+		if quota == 0 || m.runningCost(it.Team)+it.Cost <= quota {
+			ids = append(ids, it.ID)
+		}
+	}
+	return ids
+}
+
+func (m *model) push(t *rapid.T) {
+	m.ids++
+	it := queue.Item{
+		ID:    fmt.Sprint(m.ids),
+		Team:  rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "team"),
+		Class: queue.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+		Cost:  rapid.Int64Range(1, 3).Draw(t, "cost"),
+	}
+	if rapid.Bool().Draw(t, "has deadline") {
+		it.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 100_000).Draw(t, "deadline")) * 100 * time.Microsecond)
+	}
+	v := m.q.Push(m.now, it)
+	if v.HasDropped {
+		m.leave(t, v.Dropped.ID, "dropped")
+	}
+	if v.Admitted() {
+		m.waiting = append(m.waiting, it)
+	}
+	if len(m.waiting) > 0 {
+		again := m.waiting[0]
+		assert.Equal(t, m.q.Push(m.now, again).Reason, queue.Duplicate)
+	}
+}
+
+func (m *model) next(t *rapid.T) {
+	want := m.eligible()
+	it, ok := m.q.Next(m.now)
+	assert.Equal(t, ok, len(want) > 0, "eligible: %v", want)
+	if !ok {
+		return
+	}
+	assert.Assert(t, slices.Contains(want, it.ID), "%s is not among %v", it.ID, want)
+	m.leave(t, it.ID, "taken")
+	m.running = append(m.running, it)
+}
+
+// end takes a random running item out of the model.
+func (m *model) end(t *rapid.T) (queue.Item, bool) {
+	if len(m.running) == 0 {
+		return queue.Item{}, false
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "running")
+	it := m.running[i]
+	m.running = slices.Delete(m.running, i, i+1)
+	return it, true
+}
+
+func (m *model) back(t *rapid.T) {
+	it, ok := m.end(t)
+	if !ok {
+		return
+	}
+	assert.Assert(t, m.q.Return(it))
+	number := func(it queue.Item) int { n, _ := strconv.Atoi(it.ID); return n }
+	i, _ := slices.BinarySearchFunc(m.waiting, it, func(a, b queue.Item) int { return number(a) - number(b) })
+	m.waiting = slices.Insert(m.waiting, i, it)
+	if rapid.Bool().Draw(t, "defer") {
+		m.deferred[it.ID] = m.q.Defer(it.ID)
+	}
+}
+
+func (m *model) expire(t *rapid.T) {
+	// Expire counts in whole milliseconds, so the deadlines of this one may remain.
+	for _, it := range m.q.Expire(m.now) {
+		assert.Assert(t, !m.now.Before(it.Deadline), "expired early")
+		m.leave(t, it.ID, "expired")
+	}
+	for _, it := range m.waiting {
+		assert.Assert(t, it.Deadline.IsZero() || m.now.Before(it.Deadline.Add(time.Millisecond)), "%s should have expired", it.ID)
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	s := m.q.Stats()
+	waiting, teams := [queue.Classes]int64{}, map[string]bool{}
+	for _, it := range m.waiting {
+		waiting[it.Class]++
+		teams[it.Team] = true
+	}
+	for c := range s.Class {
+		assert.Equal(t, s.Class[c].Waiting, waiting[c])
+	}
+	// Taken items may come back by Return, above the bounds by at most their number.
+	assert.Assert(t, len(m.waiting) <= modelLimits.Sum+len(m.left))
+	assert.Assert(t, len(s.Team) <= modelLimits.MaxTeams)
+	assert.Assert(t, m.runningCost("a") <= modelLimits.Team["a"].Quota)
+}
+
+// Guards against items that are lost, handed out twice, out of order, after their
+// deadline or above a quota, and against a queue that holds back work that may run.
+func TestEveryItemLeavesOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{q: &queue.Queue{Limits: modelLimits}, now: start, deferred: map[string]bool{}, left: map[string]string{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"push":  m.push,
+			"push2": m.push,
+			"next":  m.next,
+			"done": func(t *rapid.T) {
+				if it, ok := m.end(t); ok {
+					m.q.Done(it.Team, it.Class, it.Cost)
+				}
+			},
+			"return": m.back,
+			"wake": func(*rapid.T) {
+				m.q.Wake()
+				clear(m.deferred)
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(1, m.ids+1).Draw(t, "id"))
+				waits := m.find(id) >= 0
+				assert.Equal(t, m.q.Cancel(id), waits)
+				if waits {
+					m.leave(t, id, "cancelled")
+				}
+			},
+			"expire":      m.expire,
+			"reconfigure": func(*rapid.T) { m.q.Reconfigure(modelLimits) },
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 50_000).Draw(t, "step")) * 100 * time.Microsecond)
+			},
+			"": m.check,
+		})
+	})
+}
+
+// Guards against memory that grows with a flood: bounds hold for items, classes and invented team names.
+func TestFloodStaysWithinTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := queue.Limits{Sum: rapid.IntRange(1, 50).Draw(t, "sum"), MaxTeams: rapid.IntRange(1, 10).Draw(t, "teams")}
+		limits.DefaultTeam.Bound = rapid.IntRange(1, 30).Draw(t, "team bound")
+		limits.Class[queue.Deferrable].Bound = rapid.IntRange(1, 30).Draw(t, "class bound")
+		q := &queue.Queue{Limits: limits}
+		admitted, gone := 0, 0
+		for i := range 200 {
+			team := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "team"))
+			v := q.Push(start, item(fmt.Sprint(i), team, queue.Class(rapid.IntRange(0, 2).Draw(t, "class"))))
+			if v.Admitted() {
+				admitted++
+			}
+			if v.HasDropped {
+				gone++
+			}
+		}
+		s := q.Stats()
+		sum := int64(0)
+		for _, c := range s.Class {
+			sum += c.Waiting
+		}
+		assert.Equal(t, sum, int64(admitted-gone))
+		assert.Assert(t, sum <= int64(limits.Sum))
+		assert.Assert(t, s.Class[queue.Deferrable].Waiting <= int64(limits.Class[queue.Deferrable].Bound))
+		assert.Assert(t, len(s.Team) <= limits.MaxTeams)
+		for _, counts := range s.Team {
+			assert.Assert(t, counts[0].Waiting+counts[1].Waiting+counts[2].Waiting <= int64(limits.DefaultTeam.Bound))
+		}
+	})
+}
+
+// Guards against a flood of any class and team that takes another's guaranteed part of the queue.
+func TestFullQueueKeepsGuaranteedPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const sum, teams = 300, 5
+		q := &queue.Queue{Limits: queue.Limits{Sum: sum}}
+		flooder := rapid.IntRange(0, teams-1).Draw(t, "flooder")
+		class := queue.Class(rapid.IntRange(0, 2).Draw(t, "class"))
+		ids := 0
+		push := func(team int, class queue.Class) {
+			ids++
+			q.Push(start, item(fmt.Sprint(ids), fmt.Sprint(team), class))
+		}
+		for range 2 * sum {
+			push(flooder, class)
+		}
+		for range sum {
+			push(flooder, class)
+			for team := range teams {
+				push(team, queue.Class(rapid.IntRange(0, 2).Draw(t, "other class")))
+			}
+		}
+		s := q.Stats()
+		for c, share := range []float64{0.5, 0.3, 0.2} {
+			assert.Assert(t, float64(s.Class[c].Waiting) >= share*sum-1, "class %d: %d", c, s.Class[c].Waiting)
+			for team := range teams {
+				places := s.Team[fmt.Sprint(team)][c].Waiting
+				assert.Assert(t, float64(places) >= share*sum/teams-2, "class %d team %d: %d", c, team, places)
+			}
+		}
+	})
+}
+
+// fill returns a queue with n waiting items of 48 teams and 3 classes, all with deadlines.
+func fill(n int) *queue.Queue {
+	q := &queue.Queue{Limits: queue.Limits{Sum: n + 1000}}
+	for i := range n {
+		it := item(strconv.Itoa(i), fmt.Sprint("team", i%48), queue.Class(i/48%queue.Classes))
+		it.Deadline = start.Add(time.Hour + time.Duration(i)*time.Millisecond)
+		q.Push(start, it)
+	}
+	return q
+}
+
+// Guards against operations, above all cancellations in bursts, whose cost grows
+// with the queue. Counted in steps, because times depend on the machine.
+func TestStepsDoNotGrowWithTheQueue(t *testing.T) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		q := fill(n)
+		steps := func(times int, operation func(i int)) float64 {
+			before := q.Stats().Steps
+			for i := range times {
+				operation(i)
+			}
+			return float64(q.Stats().Steps-before) / float64(times)
+		}
+		cancel := steps(300, func(i int) { q.Cancel(strconv.Itoa(n/2 + i)) })
+		next := steps(300, func(int) {
+			it, _ := q.Next(start)
+			q.Done(it.Team, it.Class, it.Cost)
+		})
+		push := steps(300, func(i int) { q.Push(start, item(fmt.Sprint("new", i), "team1", queue.Normal)) })
+		t.Logf("%6d waiting: steps for each Cancel %.1f, Next and Done %.1f, Push %.1f", n, cancel, next, push)
+		assert.Assert(t, cancel < 40)
+		assert.Assert(t, next < 120)
+		assert.Assert(t, push < 40)
+	}
+}
+
+// Guards against old work of a low class never running, and against it passing urgent work.
+func TestWaitingWorkRisesByAge(t *testing.T) {
+	cases := []struct {
+		age   time.Duration
+		class queue.Class
+		want  string
+	}{
+		{9 * time.Minute, queue.Normal, "new"},
+		{11 * time.Minute, queue.Normal, "old"},
+		{11 * time.Minute, queue.Urgent, "new"},
+		{time.Hour, queue.Urgent, "new"},
+	}
+	for _, c := range cases {
+		q := &queue.Queue{}
+		old := item("old", "a", queue.Deferrable)
+		old.Enqueued = start.Add(-c.age)
+		q.Push(start, item("new", "b", c.class))
+		q.Push(start, old)
+		it, _ := q.Next(start)
+		assert.Equal(t, it.ID, c.want, "%v old against %s", c.age, c.class)
+	}
+}
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -9,6 +9,9 @@
 // set Limits before the first call and use Reconfigure later.
 type Queue struct {
 	Limits Limits
+	// Capacity is the running cost that fits now, in the unit of Item.Cost; 0 means
+	// unknown. The owner may change it at any time.
+	Capacity int64
 
 	limits  Limits
 	classes [Classes]class
@@ -24,6 +27,7 @@
 	now     time.Time
 	counts  [Classes]Counts
 	ended   []ending
+	steps   uint64
 }
 
 // ending is a Done whose service is counted when the time is next known.
@@ -65,7 +69,7 @@
 	q.seq++
 	it.seq = q.seq
 	e := q.enter(it, n)
-	n.ready.insert(e)
+	q.steps += n.ready.insert(e)
 	q.refresh(n)
 	return verdict
 }
@@ -115,6 +119,7 @@
 // take removes an entry from all lists.
 func (q *Queue) take(e *entry) {
 	n := e.node
+	q.steps++
 	e.list.remove(e)
 	q.wheel.remove(e)
 	delete(q.byID, e.item.ID)
@@ -168,26 +173,65 @@
 }
 
 // choose returns the class to serve: first classes that are owed service, then
-// all; within both by class after ageing, then by the oldest item.
+// all; within both by class after ageing, then by the oldest item. No service is
+// lent past a class that is owed some and waits for headroom, or a flood of the
+// more urgent class would use up the headroom and keep it waiting for ever.
 func (q *Queue) choose(now time.Time) *class {
+	var blocked [Classes]bool
+	for {
+		best := q.foremost(now, &blocked)
+		if best == nil || q.leavesHeadroom(best) {
+			return best
+		}
+		if best.credit > 0 && !q.owed(&blocked, best) {
+			return nil
+		}
+		blocked[best.kind] = true
+	}
+}
+
+// owed reports whether a class other than best is owed service and may be served.
+func (q *Queue) owed(blocked *[Classes]bool, best *class) bool {
+	for i := range q.classes {
+		c := &q.classes[i]
+		if c != best && !blocked[i] && c.credit > 0 && c.heaps[byService].top() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// foremost returns the first of the classes that are not blocked.
+func (q *Queue) foremost(now time.Time, blocked *[Classes]bool) *class {
 	var best *class
-	var bestOwed bool
-	var bestRank int
 	for i := range q.classes {
 		c := &q.classes[i]
-		if c.heaps[byService].top() == nil {
+		if blocked[i] || c.heaps[byService].top() == nil {
 			continue
 		}
-		owed := c.credit > 0
-		rank := c.effective(now, q.limits.AgeStep)
-		if best == nil || owed && !bestOwed ||
-			owed == bestOwed && (rank < bestRank || rank == bestRank && c.oldest().Before(best.oldest())) {
-			best, bestOwed, bestRank = c, owed, rank
+		if best == nil || c.before(best, now, q.limits.AgeStep) {
+			best = c
 		}
 	}
 	return best
 }
 
+// leavesHeadroom reports whether the next item of c leaves the headroom of more urgent classes free.
+func (q *Queue) leavesHeadroom(c *class) bool {
+	if q.Capacity <= 0 {
+		return true
+	}
+	left := q.Capacity - c.heaps[byService].top().ready.front.item.Cost
+	headroom := int64(0)
+	for i := range q.classes {
+		left -= q.classes[i].running
+		if i < int(c.kind) {
+			headroom += q.classes[i].limits.Headroom
+		}
+	}
+	return headroom == 0 || left >= headroom
+}
+
 // first returns the node with the least weighted service. Service only grows while
 // items run, so a node that is still first after being settled is the right one.
 func (c *class) first(now time.Time) *node {
@@ -277,7 +321,7 @@
 	}
 	n := q.nodeOf(q.newTeam(it.Team), it.Class)
 	e := q.enter(it, n)
-	n.ready.insertFromFront(e)
+	q.steps += n.ready.insertFromFront(e)
 	q.refresh(n)
 	return true
 }
@@ -291,7 +335,7 @@
 	n := e.node
 	n.ready.remove(e)
 	e.state = deferred
-	n.deferred.insert(e)
+	q.steps += n.deferred.insert(e)
 	q.delayed[n] = struct{}{}
 	q.refresh(n)
 	return true
@@ -304,7 +348,7 @@
 			e := n.deferred.back
 			n.deferred.remove(e)
 			e.state = ready
-			n.ready.insertFromFront(e)
+			q.steps += n.ready.insertFromFront(e)
 		}
 		q.refresh(n)
 	}
--- a/pkg/queue/room.go
+++ b/pkg/queue/room.go
@@ -3,10 +3,15 @@
 // room finds out whether one more item of n may wait, and which entry must go for it.
 func (q *Queue) room(n *node) (*entry, Reason) {
 	c, t := n.class, n.team
+	teamFull := t.waiting >= t.limits.Bound
+	classFull := c.waiting >= c.limits.Bound
 	switch {
-	case t.waiting >= t.limits.Bound:
+	case teamFull && classFull:
+		// No one item that goes would leave both below their bounds and keep the shares.
+		return nil, TeamFull
+	case teamFull:
 		return q.roomInTeam(n)
-	case c.waiting >= c.limits.Bound:
+	case classFull:
 		return q.roomInClass(n, c, c.limits.Bound, ClassFull)
 	case q.waiting >= q.limits.Sum:
 		return q.roomInSum(n)
--- a/pkg/queue/stats.go
+++ b/pkg/queue/stats.go
@@ -29,13 +29,15 @@
 type Stats struct {
 	Class [Classes]Counts            `json:"class"`
 	Team  map[string][Classes]Counts `json:"team"`
+	// Steps is the number of comparisons and list steps taken so far, the cost of the queue itself.
+	Steps uint64 `json:"steps"`
 }
 
 // Stats returns the figures per class and team. A team that was idle when more
 // than Limits.MaxTeams were seen starts again from 0.
 func (q *Queue) Stats() Stats {
 	q.init()
-	s := Stats{Class: q.counts, Team: make(map[string][Classes]Counts, len(q.teams))}
+	s := Stats{Class: q.counts, Team: make(map[string][Classes]Counts, len(q.teams)), Steps: q.steps + q.wheel.moved}
 	for name, t := range q.teams {
 		counts := t.counts
 		for kind, n := range t.nodes {
@@ -99,6 +101,6 @@
 	}
 	cost := c.meanCost()
 	served := max(float64(c.running), c.limits.Share*float64(total), cost)
-	seconds := retryPart * float64(c.waiting) * cost * c.serviceTime() / served
+	seconds := retryPart * float64(c.waiting) * cost * c.meanSeconds() / served
 	return min(max(time.Duration(seconds*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
--- a/pkg/queue/team.go
+++ b/pkg/queue/team.go
@@ -13,6 +13,7 @@
 		c.kind = Class(i)
 		for kind := range c.heaps {
 			c.heaps[kind].kind = kind
+			c.heaps[kind].steps = &q.steps
 		}
 	}
 	q.Reconfigure(q.Limits)
--- a/pkg/queue/wheel.go
+++ b/pkg/queue/wheel.go
@@ -32,6 +32,8 @@
 	slots    [wheelLevels][wheelSlots]*entry
 	occupied [wheelLevels]uint64
 	due      *entry
+	// moved counts the entries that were moved down a level.
+	moved uint64
 }
 
 // tickOf rounds up, so that no entry comes out before its deadline.
@@ -110,6 +112,7 @@
 		for e != nil {
 			next := e.timer.next
 			w.place(e)
+			w.moved++
 			e = next
 		}
 	}
