queue: correct only the affected node when a team has no quota

Cause: after each start and end all three nodes of the team were sorted again, although their eligibility changes only with a quota. Change: the other nodes are left alone without a quota; p99 of a policy that starts nothing is printed as NaN instead of 0.

--- a/pkg/queue/flood_test.go
+++ b/pkg/queue/flood_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -41,7 +42,11 @@
 	missed int // refused, dropped or not started before the deadline
 }
 
+// p99 is in milliseconds, NaN when no item started.
 func (o *outcome) p99() float64 {
+	if o.waits.TotalCount() == 0 {
+		return math.NaN()
+	}
 	return float64(o.waits.ValueAtQuantile(99)) / 1000
 }
 
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -142,8 +142,14 @@
 	heaps[byBacklog].update(n, n.ready.size+n.deferred.size > 0)
 }
 
-// refreshTeam corrects all nodes of a team after its running cost changed.
+// refreshTeam corrects the nodes of a team after its running cost changed.
 func (q *Queue) refreshTeam(t *team) {
+	if t.limits.Quota > 0 {
+		q.refreshNodes(t)
+	}
+}
+
+func (q *Queue) refreshNodes(t *team) {
 	for _, n := range t.nodes {
 		if n != nil {
 			q.refresh(n)
--- a/pkg/queue/team.go
+++ b/pkg/queue/team.go
@@ -39,7 +39,7 @@
 			}
 		}
 		t.limits = limits
-		q.refreshTeam(t)
+		q.refreshNodes(t)
 	}
 }
 
