route: find silent connections, newest knowledge of leaving, fault tests

Cause: HTTP2Config.CountError is not called for a lost PING in Go 1.26, so silent connections were not counted; a server that left the list was forgotten at once, so a list that lags could bring it back; requests whose time was over were judged before a silent connection could be told from a silent server. Change: the connection is watched for a close after silence; gone servers are remembered for 10 min; late attempts are judged 2.25 s after their time; streams are reserved before the write.

--- a/pkg/route/attempt.go
+++ b/pkg/route/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// noTime is the reason of a request whose time ended before its first byte was written.
+const noTime = "time ran out before the request was sent"
+
 const (
 	headerID       = "Request-Id"
 	headerDeadline = "Request-Deadline-Ms"
@@ -33,6 +36,8 @@
 	body        []byte
 	reason      string
 	retryable   bool // for an idempotent request
+	local       bool // says nothing of the backend server
+	abandoned   bool // cancelled after the linger time
 }
 
 // attempt phases; the change from waiting decides whether a byte may be written.
@@ -54,7 +59,11 @@
 	phase  atomic.Int32
 	done   chan result
 	link   *link
-	late   atomic.Bool // the outcome was decided without this attempt
+
+	// Router.mu guards the rest.
+	late   bool // the outcome was decided without this attempt
+	ended  bool
+	judged bool // counted as a failure of the backend server
 }
 
 // withdraw reports whether the attempt was stopped before a byte could be written.
@@ -72,10 +81,13 @@
 	r.mu.Lock()
 	a.noteLocked(now, res)
 	r.giveBackLocked(a.slot)
+	late := a.late
 	r.mu.Unlock()
 	a.done <- res
 	if r.Observe != nil {
-		r.Observe(a.describe(now, res))
+		seen := a.describe(now, res)
+		seen.Late = late
+		r.Observe(seen)
 	}
 }
 
@@ -91,12 +103,14 @@
 func (a *attempt) try(ctx context.Context) result {
 	ln, err := a.server.links.get(ctx, a.server)
 	if err != nil {
-		return result{outcome: Refused, reason: err.Error(), retryable: true}
+		local := ctx.Err() != nil || errors.Is(err, errNoConnection) || errors.Is(err, errClosed)
+		return result{outcome: Refused, reason: err.Error(), retryable: true, local: local}
 	}
 	a.link = ln
 	left := a.end.Sub(a.router.now())
-	if left < time.Millisecond || !a.phase.CompareAndSwap(waiting, writing) {
-		return result{outcome: Refused, reason: "time ran out before the request was sent"}
+	if ctx.Err() != nil || left < time.Millisecond || !a.phase.CompareAndSwap(waiting, writing) {
+		ln.conn.Release()
+		return result{outcome: Refused, reason: noTime, local: true}
 	}
 	linger := orDefault(a.router.Linger, DefaultLinger)
 	ctx, cancel := context.WithTimeout(context.Background(), left+linger)
@@ -115,10 +129,12 @@
 		if notProcessed(err) || (!wrote.Load() && ctx.Err() == nil) {
 			return result{outcome: Refused, reason: err.Error(), retryable: true}
 		}
-		return result{outcome: Unknown, reason: err.Error(), retryable: true}
+		return result{outcome: Unknown, reason: err.Error(), retryable: true, abandoned: ctx.Err() != nil}
 	}
 	defer func() { _ = res.Body.Close() }()
-	return a.read(res)
+	out := a.read(res)
+	out.abandoned = out.outcome == Unknown && ctx.Err() != nil
+	return out
 }
 
 func (a *attempt) request(ctx context.Context, left time.Duration) *http.Request {
--- a/pkg/route/do.go
+++ b/pkg/route/do.go
@@ -9,9 +9,9 @@
 	// refusedRetryAfter is what a refused caller is told to wait.
 	refusedRetryAfter = time.Second
 
-	// minJudgedTime is the least time after which a missing answer counts as a failure
-	// of the backend server rather than of a caller with a short deadline.
-	minJudgedTime = time.Second
+	// judgeDelay passes between the end of an attempt's time and the judgement that the
+	// backend server failed. A silent connection is found within it and is not its fault.
+	judgeDelay = pingInterval + pingTimeout + 250*time.Millisecond
 )
 
 // Do forwards the request with the slot, retries it where that is safe, and returns its
@@ -101,12 +101,36 @@
 	default:
 	}
 	if a.withdraw() {
-		return result{outcome: Refused, reason: "time ran out before the request was sent"}
+		return result{outcome: Refused, reason: noTime}
 	}
-	a.late.Store(true)
+	r.leave(a)
 	return result{outcome: Unknown, reason: "no answer in time", retryable: ctx.Err() == nil}
 }
 
+// leave lets the attempt go on alone: its answer comes too late to be used.
+func (r *Router) leave(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.late = true
+	if !a.ended {
+		time.AfterFunc(a.end.Sub(r.now())+judgeDelay, a.judge)
+	}
+}
+
+// judge counts a failure of a backend server that answers PINGs but not the request.
+func (a *attempt) judge() {
+	r := a.router
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.judged = true
+	a.server.observe(now, now.Sub(a.start))
+	a.server.failed(now)
+}
+
 // next takes a slot for a retry, if one is allowed.
 func (r *Router) next(ctx context.Context, end time.Time, attempts int, tried map[*server]bool) (Slot, bool) {
 	r.mu.Lock()
@@ -158,36 +182,51 @@
 // noteLocked draws the conclusions from an attempt for the state of its server.
 func (a *attempt) noteLocked(now time.Time, res result) {
 	s, st := a.server, &a.router.stats
-	if a.late.Load() {
-		if res.outcome == Answered || res.outcome == Failed {
-			st.LateAnswers++
-		} else if !now.Before(a.end) {
-			st.AbandonedRequests++
-		}
+	a.ended = true
+	if res.abandoned {
+		st.AbandonedRequests++
 	}
 	switch res.outcome {
 	case Answered:
 		s.observe(now, now.Sub(a.start))
+		if a.late {
+			st.LateAnswers++
+			return
+		}
 		s.succeeded()
 	case Failed:
-		s.failed(now)
+		if a.late {
+			st.LateAnswers++
+		}
+		if !a.judged {
+			s.failed(now)
+		}
 	case Refused:
 		a.noteRefusalLocked(now, res)
 	case Unknown:
-		// A connection that went silent says nothing of the server, unless it never worked.
-		if a.link == nil || !a.link.lost.Load() || !a.link.heard.Load() {
+		if !a.judged && !a.silent() {
 			s.failed(now)
 		}
+		s.pollSoon()
 	}
 }
 
+// silent reports whether the attempt ended because its connection went silent. That says
+// nothing of the server, unless the connection never worked.
+func (a *attempt) silent() bool {
+	return a.link != nil && a.link.lost.Load() && a.link.heard.Load()
+}
+
 func (a *attempt) noteRefusalLocked(now time.Time, res result) {
-	s := a.server
 	switch {
 	case res.status != 0:
 		a.router.stats.NotRunRefusals++
-		s.refusedAt = now
-	case a.link == nil && res.retryable && a.phase.Load() != withdrawn:
-		s.failed(now)
+		a.server.avoidFrom = now
+	case a.link == nil && !res.local:
+		a.server.failed(now)
+		a.server.pollSoon()
+	case !res.local:
+		// The server closed the connection, perhaps because it is leaving.
+		a.server.pollSoon()
 	}
 }
--- a/pkg/route/do_test.go
+++ b/pkg/route/do_test.go
@@ -3,43 +3,126 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/pkg/route"
 )
 
-// Guards against a request that is lost, run twice or answered with a partial body.
-func TestRequestRunsOnceAndIsAnswered(t *testing.T) {
-	f := newFake(t, "b1")
-	r := &route.Router{Instance: "e1"}
-	r.SetPeers(1)
-	r.Set([]route.Backend{f.listen()})
-	ans := send(t, r, request("q1"))
-	assert.Equal(t, ans.Outcome, route.Answered)
-	assert.Equal(t, string(ans.Body), "done")
-	assert.Equal(t, ans.Attempts, 1)
-	assert.Equal(t, f.ran("q1"), 1)
-	assert.NilError(t, r.Drain(t.Context()))
-	assert.Equal(t, r.Stats().Answered, uint64(1))
+type handler = func(f *fake, w http.ResponseWriter, r *http.Request)
+
+func on(handle handler) func(*fake) {
+	return func(f *fake) { f.handle = handle }
+}
+
+func abort(*fake, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func short(_ *fake, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("half"))
+}
+
+func wrongID(_ *fake, w http.ResponseWriter, r *http.Request) {
+	r.Header.Set("Request-Id", "other")
+	reply(w, r, http.StatusOK)
+}
+
+func noLength(_ *fake, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func large(_ *fake, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Content-Length", "4194305")
+	_, _ = w.Write(make([]byte, route.MaxAnswerBytes+1))
+}
+
+// Guards I3, I4 and I5 against each fault of a backend server: a refusal of a request that
+// ran, a second run of a non-idempotent one, and an answer that is partial or another's.
+// The first choice is faulty and the second works.
+func TestOutcomeOfEachFault(t *testing.T) {
+	cases := map[string]struct {
+		fault                     func(*fake)
+		idempotent, nonIdempotent route.Outcome
+		firstRuns                 int // runs of a non-idempotent request at the faulty server
+	}{
+		"none":                  {func(*fake) {}, route.Answered, route.Answered, 1},
+		"down before the write": {func(f *fake) { f.down = true }, route.Answered, route.Answered, 0},
+		"closed during write":   {func(f *fake) { f.cutAfter = 8192 }, route.Answered, route.Unknown, 1},
+		"reset after the write": {on(abort), route.Answered, route.Unknown, 1},
+		"closed after write": {
+			on(func(f *fake, _ http.ResponseWriter, _ *http.Request) { f.cut() }), route.Answered, route.Unknown, 1,
+		},
+		"silent after write": {
+			on(func(f *fake, _ http.ResponseWriter, _ *http.Request) { f.freeze() }), route.Answered, route.Unknown, 1,
+		},
+		"503 not run":    {on(status(503, "Run-State", "not-run")), route.Answered, route.Answered, 0},
+		"plain 503":      {on(status(503)), route.Answered, route.Failed, 1},
+		"plain 500":      {on(status(500)), route.Answered, route.Failed, 1},
+		"not found":      {on(status(404)), route.Answered, route.Answered, 1},
+		"truncated":      {on(short), route.Answered, route.Unknown, 1},
+		"wrong id":       {on(wrongID), route.Answered, route.Unknown, 1},
+		"no length":      {on(noLength), route.Answered, route.Unknown, 1},
+		"above 4 MiB":    {on(large), route.Failed, route.Failed, 1},
+		"not run, wrong": {on(status(500, "Run-State", "not-run")), route.Answered, route.Failed, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for _, id := range []string{"idempotent", "once"} {
+					x := setup(t, 2)
+					c.fault(x.fakes[0])
+					req := request(id)
+					req.NonIdempotent = id == "once"
+					req.Body = make([]byte, 32<<10)
+					ans := x.send(t, req)
+					synctest.Wait()
+					want := c.idempotent
+					if req.NonIdempotent {
+						want = c.nonIdempotent
+						assert.Equal(t, x.fakes[0].ran(id), c.firstRuns)
+						if ans.Outcome != route.Answered || ans.Backend == "a" {
+							assert.Equal(t, x.fakes[1].ran(id), 0)
+						}
+					}
+					assert.Equal(t, ans.Outcome, want, ans.Reason)
+					if want == route.Answered {
+						assert.Equal(t, string(ans.Body), id)
+					}
+					st := x.Stats()
+					assert.Equal(t, st.Answered+st.Refused+st.Failed+st.Unknown, uint64(1))
+					time.Sleep(time.Minute)
+					assert.Equal(t, x.Free(), 16, "slots must be given back exactly once")
+				}
+			})
+		})
+	}
 }
 
-// Guards against a refusal that is reported for a request which ran, and the other way round.
-func TestServerRefusalsAreRetriedElsewhere(t *testing.T) {
-	busy, free := newFake(t, "busy"), newFake(t, "free")
-	busy.handle = busy.refuse
-	r := &route.Router{Instance: "e1", Random: func(int) int { return 0 }}
-	r.SetPeers(1)
-	r.Set([]route.Backend{busy.listen(), free.listen()})
-	req := request("q1")
-	req.NonIdempotent = true
-	ans := send(t, r, req)
-	assert.Equal(t, ans.Outcome, route.Answered)
-	assert.Equal(t, free.ran("q1"), 1)
-
-	free.handle = func(w http.ResponseWriter, q *http.Request) { free.refuse(w, q) }
-	ans = send(t, r, request("q2"))
-	assert.Equal(t, ans.Outcome, route.Refused)
-	assert.Check(t, !ans.MayHaveRun)
-	assert.Equal(t, busy.ran("q2")+free.ran("q2"), 0)
+// Guards against a slot that is given back, or an answer that is used, after its time:
+// the server is still busy with the request.
+func TestLateAnswerIsDroppedAndHoldsItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := setup(t, 1)
+		x.fakes[0].handle = func(_ *fake, w http.ResponseWriter, r *http.Request) {
+			time.Sleep(3 * time.Second)
+			reply(w, r, http.StatusOK)
+		}
+		req := request("q")
+		req.Deadline = time.Now().Add(time.Second)
+		start := time.Now()
+		ans := x.send(t, req)
+		assert.Equal(t, ans.Outcome, route.Unknown)
+		assert.Equal(t, time.Since(start), time.Second)
+		assert.Equal(t, x.Free(), 7)
+		time.Sleep(2100 * time.Millisecond)
+		assert.Equal(t, x.Free(), 8)
+		assert.Equal(t, x.Stats().LateAnswers, uint64(1))
+		assert.Equal(t, x.ran("q"), 1)
+	})
 }
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -21,23 +21,31 @@
 
 const maxReportBytes = 64 << 10
 
-// pollAll starts one poll of each backend server that has none in progress.
+// pollAll starts a poll of each backend server.
 func (r *Router) pollAll(ctx context.Context, polls *sync.WaitGroup) {
+	r.mu.Lock()
+	r.sweepLocked(r.now())
+	servers := r.servers
+	r.mu.Unlock()
+	for _, s := range servers {
+		r.startPoll(ctx, s, polls)
+	}
+}
+
+// startPoll starts a poll of a backend server that has none in progress.
+func (r *Router) startPoll(ctx context.Context, s *server, polls *sync.WaitGroup) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sweepLocked(nil)
-	for _, s := range r.servers {
-		if s.polling || s.gone() || r.closed {
-			continue
-		}
-		s.polling = true
-		polls.Go(func() { r.poll(ctx, s) })
+	if s.polling || s.gone() || r.closed {
+		return
 	}
+	s.polling = true
+	polls.Go(func() { r.poll(ctx, s) })
 }
 
 // poll asks one backend server over a connection that requests use too.
-func (r *Router) poll(ctx context.Context, s *server) {
-	ctx, cancel := context.WithTimeout(ctx, orDefault(r.PollInterval, DefaultPollInterval))
+func (r *Router) poll(run context.Context, s *server) {
+	ctx, cancel := context.WithTimeout(run, orDefault(r.PollInterval, DefaultPollInterval))
 	defer cancel()
 	ln, err := s.links.get(ctx, s)
 	var rep report
@@ -53,6 +61,9 @@
 		r.signalLocked()
 		return
 	}
+	if run.Err() != nil {
+		return
+	}
 	r.stats.PollFailures++
 	// A poll without an answer can mean a silent connection, which is replaced.
 	if ln == nil && !errors.Is(err, errNoConnection) {
--- a/pkg/route/link.go
+++ b/pkg/route/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,15 @@
 	address string
 	heard   atomic.Bool // a byte has arrived
 	lost    atomic.Bool // a PING was not answered
+	closing atomic.Bool // closed by this package
 	retired bool        // takes no new requests; guarded by links.mu
 }
 
+func (ln *link) close() {
+	ln.closing.Store(true)
+	_ = ln.conn.Close()
+}
+
 // links are the connections to one backend server.
 type links struct {
 	mu      sync.Mutex
@@ -42,7 +49,8 @@
 	err  error
 }
 
-// get returns a connection with the least requests in flight, and opens one if none is usable.
+// get returns a connection with a stream reserved on it, and opens one if none is usable.
+// RoundTrip or Release ends the reservation.
 func (l *links) get(ctx context.Context, s *server) (*link, error) {
 	for {
 		l.mu.Lock()
@@ -51,7 +59,7 @@
 			return nil, errClosed
 		}
 		l.sweepLocked()
-		if ln := l.bestLocked(); ln != nil {
+		if ln := l.reserveLocked(); ln != nil {
 			l.mu.Unlock()
 			return ln, nil
 		}
@@ -81,7 +89,7 @@
 	kept := l.open[:0]
 	for _, ln := range l.open {
 		if ln.retired && ln.conn.InFlight() == 0 {
-			_ = ln.conn.Close()
+			ln.close()
 		}
 		if ln.conn.Err() == nil {
 			kept = append(kept, ln)
@@ -91,17 +99,16 @@
 	l.open = kept
 }
 
-func (l *links) bestLocked() *link {
-	var best *link
+// reserveLocked returns the connection with the least requests in flight, and reserves
+// a stream on it, so that the request does not wait for the streams of others.
+func (l *links) reserveLocked() *link {
+	slices.SortFunc(l.open, func(a, b *link) int { return a.conn.InFlight() - b.conn.InFlight() })
 	for _, ln := range l.open {
-		if ln.retired || ln.conn.Available() == 0 {
-			continue
-		}
-		if best == nil || ln.conn.InFlight() < best.conn.InFlight() {
-			best = ln
+		if !ln.retired && ln.conn.Reserve() == nil {
+			return ln
 		}
 	}
-	return best
+	return nil
 }
 
 // connect opens a connection for all callers that wait for it.
@@ -110,7 +117,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil && l.closed {
-		_ = ln.conn.Close()
+		ln.close()
 		err = errClosed
 	}
 	if err == nil {
@@ -137,7 +144,7 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	for _, ln := range l.open {
-		_ = ln.conn.Close()
+		ln.close()
 	}
 	l.open = nil
 }
@@ -197,17 +204,16 @@
 			if err != nil {
 				return nil, err
 			}
-			return &heardConn{Conn: conn, link: ln}, nil
+			watched := &watchedConn{Conn: conn, link: ln, onLost: func() {
+				r.count(func(st *Stats) { st.SilentConnections++ })
+			}}
+			watched.heard.Store(time.Now().UnixNano())
+			return watched, nil
 		},
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingInterval,
 			PingTimeout:      pingTimeout,
 			WriteByteTimeout: writeTimeout,
-			CountError: func(kind string) {
-				if kind == "conn_close_lost_ping" && ln.lost.CompareAndSwap(false, true) {
-					r.count(func(st *Stats) { st.SilentConnections++ })
-				}
-			},
 		},
 	}
 }
@@ -220,16 +226,44 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// heardConn notes that a byte has arrived.
-type heardConn struct {
+// watchedConn finds out whether the library closed the connection because it was silent.
+// The library has no usable notice of that: HTTP2Config.CountError is not called for a
+// lost PING in Go 1.26.
+type watchedConn struct {
 	net.Conn
-	link *link
+	link   *link
+	onLost func()
+	heard  atomic.Int64 // when the last byte arrived, in Unix nanoseconds
+	failed atomic.Bool
 }
 
-func (c *heardConn) Read(p []byte) (int, error) {
+func (c *watchedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
 		c.link.heard.Store(true)
 	}
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+func (c *watchedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.failed.Store(true)
+	}
 	return n, err
 }
+
+// Close notes a close without a read or write error after a PING's time of silence.
+func (c *watchedConn) Close() error {
+	silence := time.Now().UnixNano() - c.heard.Load()
+	lost := !c.failed.Load() && !c.link.closing.Load() && silence >= int64(pingTimeout)
+	if lost && c.link.lost.CompareAndSwap(false, true) {
+		c.onLost()
+	}
+	return c.Conn.Close()
+}
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -46,4 +46,5 @@
 	Outcome                         Outcome
 	Reason                          string
 	Status                          int
+	Late                            bool // the request had its outcome before
 }
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +30,11 @@
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes = 4 << 20
 
+	// goneMemory is how long a backend server that is gone is remembered.
+	goneMemory = 10 * time.Minute
+	// maxPollsDue bounds the health polls asked for out of turn.
+	maxPollsDue = 64
+
 	pingInterval = time.Second
 	pingTimeout  = time.Second
 )
@@ -56,7 +64,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu       sync.Mutex
-	servers  []*server // live and leaving ones, in the order of the list
+	servers  []*server // those not gone or with slots taken, by name
 	byName   map[string]*server
 	peers    peers
 	budget   budget
@@ -65,6 +73,7 @@
 	scratch  []*server
 	grantsAt time.Time
 	freed    chan struct{}
+	wake     chan *server
 	working  int // slots taken
 	idle     chan struct{}
 	closed   bool
@@ -122,35 +131,26 @@
 			s.listedState = Gone
 		}
 	}
-	r.sweepLocked(list)
+	r.sweepLocked(r.now())
 	r.signalLocked()
 }
 
-// sweepLocked rebuilds the order of the servers and forgets those that are gone and idle.
-func (r *Router) sweepLocked(list []Backend) {
+// sweepLocked rebuilds the list of servers in use. A server that is gone is remembered
+// for a while: a list that lags could show it as live again.
+func (r *Router) sweepLocked(now time.Time) {
+	r.servers = r.servers[:0:0]
 	for name, s := range r.byName {
-		if s.gone() && s.used == 0 {
-			delete(r.byName, name)
-			go s.links.close()
-		}
-	}
-	kept := r.servers[:0:0]
-	for _, s := range r.servers {
-		if r.byName[s.Name] == s {
-			kept = append(kept, s)
+		if !s.gone() || s.used > 0 {
+			s.goneSince = now
+			r.servers = append(r.servers, s)
+			continue
 		}
-	}
-	known := make(map[string]bool, len(kept))
-	for _, s := range kept {
-		known[s.Name] = true
-	}
-	for _, b := range list {
-		if s := r.byName[b.Name]; s != nil && !known[b.Name] {
-			kept = append(kept, s)
-			known[b.Name] = true
+		if now.Sub(s.goneSince) >= goneMemory {
+			delete(r.byName, name)
 		}
+		go s.links.retire()
 	}
-	r.servers = kept
+	slices.SortFunc(r.servers, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // Run polls the health of the backend servers until ctx ends.
@@ -162,14 +162,36 @@
 	defer polls.Wait()
 	for {
 		r.pollAll(ctx, &polls)
+		if !r.wait(ctx, ticker.C, &polls) {
+			return nil
+		}
+	}
+}
+
+// wait starts the polls that are asked for until the next tick; false means that ctx ended.
+func (r *Router) wait(ctx context.Context, tick <-chan time.Time, polls *sync.WaitGroup) bool {
+	r.mu.Lock()
+	wake := r.wakeLocked()
+	r.mu.Unlock()
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+			return false
+		case <-tick:
+			return true
+		case s := <-wake:
+			r.startPoll(ctx, s, polls)
 		}
 	}
 }
 
+func (r *Router) wakeLocked() chan *server {
+	if r.wake == nil {
+		r.wake = make(chan *server, maxPollsDue)
+	}
+	return r.wake
+}
+
 // Drain waits until no slot is taken or ctx ends, then closes all connections.
 // It interrupts no request in progress unless ctx ends first.
 func (r *Router) Drain(ctx context.Context) error {
@@ -181,7 +203,7 @@
 	}
 	r.mu.Lock()
 	r.closed = true
-	servers := r.servers
+	servers := slices.Collect(maps.Values(r.byName))
 	r.mu.Unlock()
 	for _, s := range servers {
 		s.links.close()
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -15,9 +15,10 @@
 	minEject   = time.Second
 	maxEject   = 60 * time.Second
 
-	// refusalPause is how long a server that refused for lack of a slot is avoided.
-	refusalPause = 50 * time.Millisecond
-	refusalCost  = time.Second
+	// avoidPause is how long a server that refused or failed is avoided. Its refusals are
+	// quick, and without the pause it would look like the fastest server.
+	avoidPause = 50 * time.Millisecond
+	avoidCost  = time.Second
 )
 
 // server is the state of one backend server; Router.mu guards it except for links.
@@ -30,6 +31,8 @@
 	selfMarked  bool
 	polling     bool
 
+	goneSince time.Time
+
 	granted  int
 	grantEnd time.Time
 	used     int
@@ -37,7 +40,7 @@
 
 	latency   float64 // seconds
 	latencyAt time.Time
-	refusedAt time.Time
+	avoidFrom time.Time // when it last refused or failed
 
 	failures   int // in a row
 	ejections  int // in a row
@@ -46,6 +49,9 @@
 
 // list takes over an entry of the instance list, unless newer knowledge is present.
 func (s *server) list(b Backend) {
+	if b.Incarnation == 0 {
+		b.Incarnation = s.Incarnation
+	}
 	if b.Incarnation < s.Incarnation {
 		return
 	}
@@ -85,11 +91,19 @@
 	return min(n, s.Slots)
 }
 
+// pollSoon asks Run for a health poll before the next regular one.
+func (s *server) pollSoon() {
+	select {
+	case s.router.wakeLocked() <- s:
+	default: // enough polls are due
+	}
+}
+
 // cost is Peak-EWMA latency times (outstanding+1), in seconds.
 func (s *server) cost(now time.Time) float64 {
 	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/latencyDecay.Seconds())
-	if now.Sub(s.refusedAt) < refusalPause {
-		latency += refusalCost.Seconds()
+	if now.Sub(s.avoidFrom) < avoidPause {
+		latency += avoidCost.Seconds()
 	}
 	return max(latency, minLatency.Seconds()) * float64(s.used+1)
 }
@@ -110,6 +124,7 @@
 // failed counts a failure and reports whether it ejected the server.
 func (s *server) failed(now time.Time) bool {
 	s.failures++
+	s.avoidFrom = now
 	if s.failures < ejectAfter || now.Before(s.ejectUntil) || !s.router.mayEjectLocked(now) {
 		return false
 	}
--- a/pkg/route/share.go
+++ b/pkg/route/share.go
@@ -21,10 +21,10 @@
 		r.signalLocked()
 		return
 	}
-	if n != p.pending {
-		p.since = r.now()
+	if n == p.pending {
+		return
 	}
-	p.pending = n
+	p.since, p.pending = r.now(), n
 	time.AfterFunc(baseHold, r.signal)
 }
 
--- a/pkg/route/stats.go
+++ b/pkg/route/stats.go
@@ -32,6 +32,14 @@
 
 // Snapshot describes the backend servers.
 func (r *Router) Snapshot() []Status {
+	list, servers := r.statuses()
+	for i, s := range servers {
+		list[i].OpenConnections = s.links.count()
+	}
+	return list
+}
+
+func (r *Router) statuses() ([]Status, []*server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -40,5 +48,5 @@
 	for _, s := range r.servers {
 		list = append(list, s.status(now, n, r.ejectedLocked(s, now)))
 	}
-	return list
+	return list, r.servers
 }
