--- a/internal/back/faults.go
+++ b/internal/back/faults.go
@@ -4,9 +4,19 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/daisyrack/daisyrack/internal/plat"
 )
 
+const (
+	// maxFaultMs is one day.
+	maxFaultMs = 24 * 3600 * 1000
+
+	// lateBy is how long after the caller's deadline a late answer comes.
+	lateBy = 50 * time.Millisecond
+)
+
 // Faults are the faults in force; the zero value means none.
 type Faults struct {
 	// Silent freezes, once, the connections that are open at that moment; new ones work.
@@ -23,11 +33,26 @@
 	Leaving bool `json:"leaving"`
 }
 
+func (f Faults) validate() error {
+	if f.SlowMs < 0 || f.SlowMs > maxFaultMs {
+		return errors.Newf("slow_ms must be 0 to %d", maxFaultMs)
+	}
+	if min(f.Fail, f.HalfAnswers) < 0 || max(f.Fail, f.HalfAnswers) > 1 {
+		return errors.New("fail and half_answers must be 0 to 1")
+	}
+	return nil
+}
+
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(f Faults) {
+	s.setFaults(f, nil)
+}
+
+// setFaults leaves the connection of the caller out of the silence, so that it gets its answer.
+func (s *Server) setFaults(f Faults, caller *conn) {
 	s.once.Do(s.start)
 	if f.Silent {
-		s.conns.freeze()
+		s.conns.freeze(caller)
 	}
 	f.Silent = false
 	s.mu.Lock()
@@ -42,8 +67,6 @@
 	half    bool
 }
 
-const lateBy = 50 * time.Millisecond
-
 func (s *Server) draw(d ServiceTime, deadline time.Duration) fate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,6 +87,11 @@
 		plat.WriteJSON(w, http.StatusBadRequest, plat.Problem{Error: "faults: " + err.Error()})
 		return
 	}
-	s.SetFaults(f)
+	if err := f.validate(); err != nil {
+		plat.WriteJSON(w, http.StatusBadRequest, plat.Problem{Error: "faults: " + err.Error()})
+		return
+	}
+	caller, _ := r.Context().Value(connKey{}).(*conn)
+	s.setFaults(f, caller)
 	plat.WriteJSON(w, http.StatusOK, f)
 }
--- a/internal/back/listen.go
+++ b/internal/back/listen.go
@@ -31,6 +31,9 @@
 		Handler:   s.Handler(),
 		Protocols: protocols,
 		HTTP2:     &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(s.conns.listen(l, s.Connections)) }()
@@ -72,6 +75,9 @@
 	return s.announce(ctx, state)
 }
 
+// connKey is the context key of the connection that a call came over.
+type connKey struct{}
+
 // connSet holds the open connections, so that they can be frozen.
 type connSet struct {
 	mu     sync.Mutex
@@ -83,16 +89,19 @@
 	return &listener{Listener: l, set: c, slots: make(chan struct{}, limit), done: make(chan struct{})}
 }
 
-// freeze stops the reading and writing of all open connections for good.
-func (c *connSet) freeze() {
+// freeze stops the reading and writing of all open connections but one for good.
+func (c *connSet) freeze(except *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := range c.open {
+		if k == except {
+			continue
+		}
 		close(k.frozen)
 		k.free()
 		c.frozen = append(c.frozen, k)
+		delete(c.open, k)
 	}
-	c.open = nil
 }
 
 func (c *connSet) closeFrozen() {
--- a/internal/plat/list.go
+++ b/internal/plat/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -38,8 +37,12 @@
 	AsOfMs    int64      `json:"as_of_ms"`
 }
 
-// ErrOldIncarnation reports a change that belongs to an earlier incarnation than the one listed.
-var ErrOldIncarnation = errors.New("plat: a later incarnation is registered")
+// ErrOutdated reports a change that the list has already moved past: it belongs to an earlier
+// incarnation, or to an earlier state of the same one. Such a call was delayed on its way.
+var ErrOutdated = errors.New("plat: a later incarnation or state is registered")
+
+// states are in the order that an incarnation passes through them.
+var states = []string{StateLive, StateLeaving, StateGone}
 
 type change struct {
 	at       time.Time
@@ -75,8 +78,11 @@
 }
 
 func (l *list) put(now time.Time, in Instance) error {
-	if in.Incarnation < l.present[in.Name].Incarnation {
-		return ErrOldIncarnation
+	old, ok := l.present[in.Name]
+	sameLife := in.Incarnation == old.Incarnation
+	backwards := slices.Index(states, in.State) < slices.Index(states, old.State)
+	if ok && (in.Incarnation < old.Incarnation || sameLife && backwards) {
+		return ErrOutdated
 	}
 	l.present[in.Name] = in
 	l.pending = append(l.pending, change{at: now, instance: in})
@@ -114,7 +120,7 @@
 	if !slices.Contains([]string{RoleEntry, RoleWorker, RoleBackend}, in.Role) {
 		return errors.Newf("plat: role %q must be entry, worker or backend", in.Role)
 	}
-	if !slices.Contains([]string{StateLive, StateLeaving, StateGone}, in.State) {
+	if !slices.Contains(states, in.State) {
 		return errors.Newf("plat: state %q must be live, leaving or gone", in.State)
 	}
 	return nil
@@ -130,12 +136,20 @@
 	return answer{status: http.StatusOK, value: out}
 }
 
-func (s *Server) putInstance(r *http.Request, body []byte) answer {
+// putInstance is no part of the real platform, so it is outside the rate limits and counts.
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
 	var in Instance
-	if err := json.Unmarshal(body, &in); err != nil {
-		return problem(http.StatusBadRequest, "instance: %v", err)
+	if err := ReadJSON(w, r, &in); err != nil {
+		problem(http.StatusBadRequest, "instance: %v", err).send(w)
+		return
 	}
-	if in.Name != r.PathValue("name") {
+	s.serve(w, r, unlimited, func() (answer, bool) {
+		return s.change(r.PathValue("name"), in), false
+	})
+}
+
+func (s *Server) change(name string, in Instance) answer {
+	if in.Name != name {
 		return problem(http.StatusBadRequest, "name %q differs from the path", in.Name)
 	}
 	if err := in.validate(); err != nil {
--- a/internal/plat/server.go
+++ b/internal/plat/server.go
@@ -20,6 +20,9 @@
 	maxBodyBytes   = 1 << 20
 	maxObjectBytes = 8 << 20
 
+	// maxFaultMs is one day.
+	maxFaultMs = 24 * 3600 * 1000
+
 	// cutHold outlasts the callers' timeout of 2 s, so a cut looks like silence to them.
 	cutHold = 3 * time.Second
 )
@@ -60,7 +63,18 @@
 	CutDomains []string `json:"cut_domains"`
 }
 
-// Counts are the calls served since the start, refused ones not included.
+func (f Faults) validate() error {
+	if f.SlowMs < 0 || f.SlowMs > maxFaultMs || f.ListLagMs < 0 || f.ListLagMs > maxFaultMs {
+		return errors.Newf("slow_ms and list_lag_ms must be 0 to %d", maxFaultMs)
+	}
+	if f.LoseAnswers < 0 || f.LoseAnswers > 1 {
+		return errors.New("lose_answers must be 0 to 1")
+	}
+	return nil
+}
+
+// Counts are the calls carried out since the start; calls answered with 429 or 503 and
+// registrations of instances are not counted.
 type Counts struct {
 	Writes int64 `json:"writes"`
 	Reads  int64 `json:"reads"`
@@ -95,10 +109,12 @@
 	s.list.init()
 }
 
+var unlimited = rate.NewLimiter(rate.Inf, 0)
+
 // limiter allows a burst of one second's worth.
 func limiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
+		return unlimited
 	}
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
@@ -115,7 +131,7 @@
 	mux.HandleFunc("DELETE /v1/objects/{name...}", s.write(0, s.deleteObject))
 	mux.HandleFunc("GET /v1/objects/{name...}", s.read(s.object))
 	mux.HandleFunc("GET /v1/instances", s.read(s.instances))
-	mux.HandleFunc("PUT /v1/instances/{name}", s.write(maxBodyBytes, s.putInstance))
+	mux.HandleFunc("PUT /v1/instances/{name}", s.putInstance)
 	mux.HandleFunc("POST /v1/faults", s.postFaults)
 	return mux
 }
@@ -150,9 +166,8 @@
 			return
 		}
 		s.serve(w, r, s.writes, func() (answer, bool) {
-			a := handle(r, body)
 			s.counts.Writes++
-			return a, s.random.Float64() < s.faults.LoseAnswers
+			return handle(r, body), s.random.Float64() < s.faults.LoseAnswers
 		})
 	}
 }
@@ -217,6 +232,10 @@
 		problem(http.StatusBadRequest, "faults: %v", err).send(w)
 		return
 	}
+	if err := f.validate(); err != nil {
+		problem(http.StatusBadRequest, "faults: %v", err).send(w)
+		return
+	}
 	s.SetFaults(f)
 	WriteJSON(w, http.StatusOK, f)
 }
@@ -230,7 +249,13 @@
 func ReadJSON(w http.ResponseWriter, r *http.Request, v any) error {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	d.DisallowUnknownFields()
-	return d.Decode(v)
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if d.More() {
+		return errors.New("body has more than one value")
+	}
+	return nil
 }
 
 // WriteJSON sends v with the given status.
--- a/internal/work/faults.go
+++ b/internal/work/faults.go
@@ -4,9 +4,18 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/daisyrack/daisyrack/internal/plat"
 )
 
+const (
+	// maxFaultMs is one day.
+	maxFaultMs = 24 * 3600 * 1000
+
+	maxUsageFactor = 1000
+)
+
 // Faults are the faults in force; the zero value means none.
 type Faults struct {
 	// FailStarts lets every task fail as soon as it has started.
@@ -24,6 +33,16 @@
 	Crash bool `json:"crash"`
 }
 
+func (f Faults) validate() error {
+	if f.SlowMs < 0 || f.SlowMs > maxFaultMs || f.UsageDelayMs < 0 || f.UsageDelayMs > maxFaultMs {
+		return errors.Newf("slow_ms and usage_delay_ms must be 0 to %d", maxFaultMs)
+	}
+	if f.UsageFactor < 0 || f.UsageFactor > maxUsageFactor {
+		return errors.Newf("usage_factor must be 0 to %d", maxUsageFactor)
+	}
+	return nil
+}
+
 func (f Faults) usageDelay() time.Duration {
 	if f.UsageDelayMs > 0 {
 		return time.Duration(f.UsageDelayMs) * time.Millisecond
@@ -72,6 +91,10 @@
 		plat.WriteJSON(w, http.StatusBadRequest, plat.Problem{Error: "faults: " + err.Error()})
 		return
 	}
+	if err := f.validate(); err != nil {
+		plat.WriteJSON(w, http.StatusBadRequest, plat.Problem{Error: "faults: " + err.Error()})
+		return
+	}
 	s.SetFaults(f)
 	plat.WriteJSON(w, http.StatusOK, f)
 }
--- a/internal/work/handler.go
+++ b/internal/work/handler.go
@@ -13,7 +13,7 @@
 const (
 	maxBodyBytes = 4 << 20
 
-	// maxRunMs is ten years; a longer run would overflow the clock.
+	// maxRunMs is ten years.
 	maxRunMs = 10 * 365 * 24 * 3600 * 1000
 )
 
@@ -31,8 +31,8 @@
 func (s *Server) Handler() http.Handler {
 	s.once.Do(s.start)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/claim", call(s, s.claim))
-	mux.HandleFunc("POST /v1/sync", call(s, s.sync))
+	mux.HandleFunc("POST /v1/claim", s.call(s.claim))
+	mux.HandleFunc("POST /v1/sync", s.call(s.sync))
 	mux.HandleFunc("GET /v1/history", func(w http.ResponseWriter, _ *http.Request) {
 		plat.WriteJSON(w, http.StatusOK, s.History())
 	})
@@ -41,7 +41,7 @@
 }
 
 // call decodes a request, waits as the faults say and carries it out under the lock.
-func call(s *Server, handle func(body []byte, now time.Duration) (int, any)) http.HandlerFunc {
+func (s *Server) call(handle func(body []byte, now time.Duration) (int, any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
@@ -88,9 +88,14 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		return malformed(err)
 	}
-	if ok, current := s.fence.Claim(c.Owner, c.Epoch); !ok {
+	before := s.fence.Epoch()
+	ok, current := s.fence.Claim(c.Owner, c.Epoch)
+	if !ok {
 		return http.StatusConflict, Refused{Epoch: current}
 	}
+	if current > before {
+		s.sequence = 0
+	}
 	return http.StatusOK, Claimed{
 		Incarnation: s.incarnation,
 		ClockMs:     now.Milliseconds(),
@@ -104,8 +109,8 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		return malformed(err)
 	}
-	if !s.fence.Admit(c.Owner, c.Epoch) {
-		return http.StatusConflict, Refused{Epoch: s.fence.Epoch()}
+	if !s.fence.Admit(c.Owner, c.Epoch) || !s.inOrder(c.Sequence) {
+		return http.StatusConflict, Refused{Epoch: s.fence.Epoch(), Sequence: s.sequence}
 	}
 	if c.BaseMs > 0 && c.BaseMs <= now.Milliseconds() {
 		s.fence.Renew(time.Duration(c.BaseMs)*time.Millisecond, now)
@@ -119,6 +124,19 @@
 	return http.StatusOK, Synced{ClockMs: now.Milliseconds(), Starts: started, Tasks: s.report(now)}
 }
 
+// inOrder refuses a sync that was overtaken by a later one of the same epoch: its stops and
+// forgets could hit a later attempt of a task. Sequence 0 is always accepted.
+func (s *Server) inOrder(sequence int64) bool {
+	if sequence == 0 {
+		return true
+	}
+	if sequence <= s.sequence {
+		return false
+	}
+	s.sequence = sequence
+	return true
+}
+
 // command applies everything but the starts.
 func (s *Server) command(c Sync, now time.Duration) {
 	for _, id := range c.Forgets {
--- a/internal/work/server.go
+++ b/internal/work/server.go
@@ -52,6 +52,7 @@
 	random      *rand.Rand
 	incarnation int64
 	fence       lease.Fence
+	sequence    int64 // highest of the epoch
 	tasks       map[string]*task
 	forgotten   map[string]int64 // highest attempt of a forgotten task
 	order       []string         // forgotten ids from oldest to newest
@@ -80,6 +81,7 @@
 func (s *Server) restart(now time.Duration) {
 	s.incarnation = max(s.incarnation+1, now.Milliseconds())
 	s.fence = lease.Fence{}
+	s.sequence = 0
 	s.tasks = make(map[string]*task)
 	clear(s.forgotten)
 	s.order = nil
@@ -129,6 +131,7 @@
 }
 
 // advance ends the tasks that are due and returns the clock; the caller holds the lock.
+// A task ends at its due time however late that is noticed, since it exists only in the record.
 func (s *Server) advance() time.Duration {
 	now := s.Clock()
 	for _, t := range s.tasks {
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -6,8 +6,13 @@
 	"github.com/daisyrack/daisyrack/pkg/lease"
 )
 
-// never is the end of a service.
-const never = time.Duration(1<<63 - 1)
+const (
+	// never is the end of a service.
+	never = time.Duration(1<<63 - 1)
+
+	// maxRun is ten years; a longer run would overflow the clock.
+	maxRun = maxRunMs * time.Millisecond
+)
 
 // task is a Task with what the simulation needs; times are readings of the worker's clock.
 type task struct {
@@ -74,6 +79,7 @@
 	before := t.speed()
 	t.limit = max(0, limit)
 	if t.ends != never {
-		t.ends = now + time.Duration(float64(t.ends-now)*before/t.speed())
+		left := float64(t.ends-now) * before / t.speed()
+		t.ends = now + time.Duration(min(left, float64(maxRun)))
 	}
 }
--- a/internal/work/wire.go
+++ b/internal/work/wire.go
@@ -77,15 +77,19 @@
 	Tasks       []Task    `json:"tasks"`
 }
 
-// Refused is the answer to a claim or sync of an owner that is not the one in force.
+// Refused is the answer to a claim or sync of an owner that is not the one in force, or to a
+// sync that a later one has overtaken; then Epoch is the owner's own.
 type Refused struct {
-	Epoch int64 `json:"epoch"`
+	Epoch    int64 `json:"epoch"`
+	Sequence int64 `json:"sequence,omitempty"`
 }
 
 // Sync carries the commands of the owner; the worker applies forgets, stops, checkpoints, throttles and starts in this order.
 type Sync struct {
-	Owner       string     `json:"owner"`
-	Epoch       int64      `json:"epoch"`
+	Owner string `json:"owner"`
+	Epoch int64  `json:"epoch"`
+	// Sequence, if not 0, must be above that of every earlier sync of the epoch.
+	Sequence    int64      `json:"sequence,omitempty"`
 	BaseMs      int64      `json:"base_ms"`
 	Starts      []Start    `json:"starts,omitempty"`
 	Stops       []string   `json:"stops,omitempty"`
--- a/pkg/lease/fence.go
+++ b/pkg/lease/fence.go
@@ -17,9 +17,10 @@
 // acquisition of any later owner, however long the owner or its message is
 // delayed. Such a message can therefore not carry the claim past
 // acquisition + limit, while the later owner waits for limit x 1.05 + 1 s from
-// its acquisition before it starts a task elsewhere; the factor covers clocks
-// that run at different rates. Once the later owner has claimed the worker,
-// Admit refuses the older one at once.
+// its acquisition before it starts a task elsewhere. It must count from a
+// moment at which the acquisition had taken effect, such as the arrival of the
+// answer. The factor covers clocks that run at different rates. Once the later
+// owner has claimed the worker, Admit refuses the older one at once.
 type Fence struct {
 	owner   string
 	epoch   int64
