--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/internal/back"
+	"github.com/daisyrack/daisyrack/internal/plat"
 )
 
 // pipes is a listener whose connections are net.Pipe.
@@ -50,6 +53,11 @@
 	}
 }
 
+// fresh returns a client like c that has no open connection.
+func fresh(c *http.Client) *http.Client {
+	return &http.Client{Transport: c.Transport.(*http.Transport).Clone()}
+}
+
 func newServer() *back.Server {
 	return &back.Server{
 		Name: "b1", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 2, Seed: 1,
@@ -64,30 +72,234 @@
 	err    error
 }
 
+// deadline is that of every request.
+const deadline = 5 * time.Second
+
 func run(client *http.Client, id, body string) answer {
-	r, _ := http.NewRequest("POST", "http://b1/run/r", strings.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, "POST", "http://b1/run/r", strings.NewReader(body))
 	r.Header.Set(back.RequestIDHeader, id)
-	r.Header.Set(back.DeadlineHeader, "5000")
+	r.Header.Set(back.DeadlineHeader, fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(back.IdempotencyKeyHeader, "key-"+id)
 	res, err := client.Do(r)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	got, err := io.ReadAll(res.Body)
-	return answer{status: res.StatusCode, header: res.Header, body: string(got), err: err}
+	if err != nil {
+		return answer{err: err}
+	}
+	return answer{status: res.StatusCode, header: res.Header, body: string(got)}
+}
+
+// begin sends a request and does not wait for its answer.
+func begin(client *http.Client, id string) <-chan answer {
+	got := make(chan answer, 1)
+	go func() { got <- run(client, id, "") }()
+	return got
+}
+
+// transport carries calls to a handler in the same process.
+type transport struct{ handler http.Handler }
+
+func (l transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	l.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// Guards against an answer that is not the caller's own, and a record that misses a second run.
+func TestAnswersAndRunsBelongToTheirRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer()
+		client, end := serve(t, s)
+		defer end()
+		for range 2 {
+			got := run(client, "q1", "hello")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, "q1\nhello")
+			assert.Equal(t, got.header.Get(back.RequestIDHeader), "q1")
+			assert.Equal(t, got.header.Get("Content-Length"), "8")
+		}
+		runs := s.Runs()
+		assert.DeepEqual(t, runs, back.Runs{Requests: map[string]int{"q1": 2}, Keys: map[string]int{"key-q1": 2}, PeakBusy: 1})
+	})
 }
 
-// Guards against an answer that is not the caller's own.
-func TestAnswerEchoesTheRequest(t *testing.T) {
+// Guards against more requests than slots, and a refusal of a request that ran.
+func TestRequestsAboveTheSlotsDoNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newServer()
 		client, end := serve(t, s)
 		defer end()
-		got := run(client, "q1", "hello")
-		assert.NilError(t, got.err)
+		first, second := begin(client, "q1"), begin(client, "q2")
+		synctest.Wait()
+		got := run(client, "q3", "")
+		assert.Equal(t, got.status, 503)
+		assert.Equal(t, got.header.Get(back.RunStateHeader), back.NotRun)
+		assert.Equal(t, got.header.Get(back.ServerStateHeader), "")
+		assert.Equal(t, (<-first).status, 200)
+		assert.Equal(t, (<-second).status, 200)
+		assert.DeepEqual(t, s.Runs().Requests, map[string]int{"q1": 1, "q2": 1})
+	})
+}
+
+// Guards against a shutdown that cuts off requests in progress, takes new ones or stays in the list.
+func TestLeavingFinishesWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var platform plat.Server
+		s := newServer()
+		s.Platform = "http://platform"
+		s.Client = &http.Client{Transport: transport{platform.Handler()}}
+		listed := func() string {
+			w := httptest.NewRecorder()
+			platform.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/v1/instances", nil))
+			return w.Body.String()
+		}
+		client, end := serve(t, s)
+		first := begin(client, "q1")
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(listed(), `"state":"live"`))
+		go func() {
+			synctest.Wait()
+			assert.Check(t, strings.Contains(listed(), `"state":"leaving"`))
+			got := run(client, "q2", "")
+			assert.Check(t, got.status == 503 && got.header.Get(back.RunStateHeader) == back.NotRun)
+			assert.Check(t, got.header.Get(back.ServerStateHeader) == "leaving")
+		}()
+		done := make(chan answer, 1)
+		go func() { done <- <-first }()
+		end()
+		got := <-done
 		assert.Equal(t, got.status, 200)
-		assert.Equal(t, got.body, "q1\nhello")
-		assert.Equal(t, got.header.Get(back.RequestIDHeader), "q1")
+		assert.Equal(t, got.body, "q1\n")
+		assert.Equal(t, got.header.Get(back.ServerStateHeader), "leaving")
+		assert.Assert(t, strings.Contains(listed(), `"state":"gone"`))
 		assert.DeepEqual(t, s.Runs().Requests, map[string]int{"q1": 1})
 	})
 }
+
+// Guards against a silent connection that answers after all, or one that takes the place of a new one.
+func TestSilentConnectionsStaySilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer()
+		s.Connections = 1
+		client, end := serve(t, s)
+		defer end()
+		assert.Equal(t, run(client, "q1", "").status, 200)
+		before := begin(client, "q2")
+		synctest.Wait()
+		s.SetFaults(back.Faults{Silent: true})
+		time.Sleep(time.Second)
+		assert.ErrorContains(t, run(client, "q3", "").err, "deadline")
+		assert.ErrorContains(t, (<-before).err, "deadline")
+		assert.DeepEqual(t, s.Runs().Requests, map[string]int{"q1": 1, "q2": 1})
+
+		assert.Equal(t, run(fresh(client), "q4", "").status, 200)
+	})
+}
+
+// Guards against more open connections than the bound.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer()
+		s.Connections = 1
+		l := make(pipes)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- s.Serve(ctx, l) }()
+		first, _ := l.dial(ctx, "", "")
+		second := make(chan net.Conn)
+		go func() {
+			c, _ := l.dial(ctx, "", "")
+			second <- c
+		}()
+		synctest.Wait()
+		select {
+		case <-second:
+			t.Fatal("accepted a second connection")
+		default:
+		}
+		assert.NilError(t, first.Close())
+		assert.NilError(t, (<-second).Close())
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+// Guards against faults that do not do what they say.
+func TestFaultsOfAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults back.Faults
+		status int // 0 when there is no complete answer
+		after  time.Duration
+	}{
+		{"none", back.Faults{}, 200, time.Second},
+		{"slow", back.Faults{SlowMs: 500}, 200, 1500 * time.Millisecond},
+		{"fail", back.Faults{Fail: 1}, 500, time.Second},
+		{"half", back.Faults{HalfAnswers: 1}, 0, time.Second},
+		{"late", back.Faults{Late: true}, 0, deadline},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newServer()
+				client, end := serve(t, s)
+				defer end()
+				s.SetFaults(c.faults)
+				began := time.Now()
+				got := run(client, "q1", "hello")
+				assert.Equal(t, time.Since(began), c.after)
+				assert.Equal(t, got.err != nil, c.status == 0)
+				assert.Equal(t, got.status, c.status)
+				assert.Equal(t, s.Runs().Requests["q1"], 1)
+			})
+		})
+	}
+}
+
+// Guards against service times that do not follow their distribution and seed.
+func TestServiceTimesFollowTheSeed(t *testing.T) {
+	run := func(seed uint64) (mean time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &back.Server{Seed: seed, Routes: map[string]back.ServiceTime{"r": {Min: time.Second, Mean: 3 * time.Second}}}
+			began := time.Now()
+			for range 2000 {
+				last := time.Now()
+				r := httptest.NewRequest("POST", "/run/r", nil)
+				r.Header.Set(back.RequestIDHeader, "q")
+				r.Header.Set(back.DeadlineHeader, "1")
+				s.Handler().ServeHTTP(httptest.NewRecorder(), r)
+				assert.Assert(t, time.Since(last) >= time.Second)
+			}
+			mean = time.Since(began) / 2000
+		})
+		return mean
+	}
+	assert.Equal(t, run(1), run(1))
+	assert.Assert(t, run(1) != run(2))
+	assert.Assert(t, run(1) > 2700*time.Millisecond && run(1) < 3300*time.Millisecond, "seed 1: %v", run(1))
+}
+
+// Guards against headers from outside that crash the server or let a refused request run.
+func FuzzRun(f *testing.F) {
+	f.Fuzz(func(t *testing.T, id, deadline, key, route, body string) {
+		s := &back.Server{Routes: map[string]back.ServiceTime{"r": {}}}
+		r := httptest.NewRequest("POST", "/run/r", strings.NewReader(body))
+		r.URL.Path = "/run/" + route
+		r.Header.Set(back.RequestIDHeader, id)
+		r.Header.Set(back.DeadlineHeader, deadline)
+		r.Header.Set(back.IdempotencyKeyHeader, key)
+		w := httptest.NewRecorder()
+		s.Handler().ServeHTTP(w, r)
+		ran := w.Code == 200
+		assert.Equal(t, s.Runs().Requests[id] == 1, ran, "status %d", w.Code)
+		assert.Assert(t, !ran || w.Body.String() == string(back.Body(id, []byte(body))))
+		if w.Code == 400 || w.Code == 413 {
+			assert.Equal(t, w.Header().Get(back.RunStateHeader), back.NotRun)
+		}
+	})
+}
--- a/internal/back/listen.go
+++ b/internal/back/listen.go
@@ -16,6 +16,10 @@
 const (
 	leaveTimeout = 2 * time.Second
 
+	// frozenBuffer is about a socket buffer. Without it a writer over net.Pipe would block
+	// with its first byte, which no writer to a silent TCP connection does.
+	frozenBuffer = 64 << 10
+
 	// maxStreams is above any number of slots, so that the server refuses work in words
 	// instead of leaving it waiting for a stream.
 	maxStreams = 1024
@@ -99,6 +103,7 @@
 		}
 		close(k.frozen)
 		k.free()
+		go k.drop()
 		c.frozen = append(c.frozen, k)
 		delete(c.open, k)
 	}
@@ -194,6 +199,11 @@
 	return k.Conn.Write(p)
 }
 
+// drop takes what the buffers of a network would still take from the other side.
+func (k *conn) drop() {
+	_, _ = io.CopyN(io.Discard, k.Conn, frozenBuffer)
+}
+
 // silent returns false at once on a working connection, and true after the close of a frozen one.
 func (k *conn) silent() bool {
 	select {
--- a/internal/back/server.go
+++ b/internal/back/server.go
@@ -1,7 +1,9 @@
 package back
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -88,12 +90,8 @@
 }
 
 func (s *Server) start() {
-	if s.Slots == 0 {
-		s.Slots = defaultSlots
-	}
-	if s.Connections == 0 {
-		s.Connections = defaultConnections
-	}
+	s.Slots = cmp.Or(s.Slots, defaultSlots)
+	s.Connections = cmp.Or(s.Connections, defaultConnections)
 	s.idle = sync.NewCond(&s.mu)
 	s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 	s.incarnation = time.Now().UnixMilli()
@@ -105,15 +103,7 @@
 	s.once.Do(s.start)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Runs{Requests: clone(s.runs.Requests), Keys: clone(s.runs.Keys), PeakBusy: s.runs.PeakBusy}
-}
-
-func clone(m map[string]int) map[string]int {
-	out := make(map[string]int, len(m))
-	for k, n := range m {
-		out[k] = n
-	}
-	return out
+	return Runs{Requests: maps.Clone(s.runs.Requests), Keys: maps.Clone(s.runs.Keys), PeakBusy: s.runs.PeakBusy}
 }
 
 func (s *Server) state() string {
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -1,46 +1,227 @@
 package plat_test
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/internal/plat"
 )
 
-// do sends one call to the handler; a status of 0 means that the connection was cut without an answer.
-func do(s *plat.Server, method, target, body string) (status int, answer string) {
-	w := httptest.NewRecorder()
+// local carries calls to a handler in the same process; a cut connection is an error.
+type local struct{ handler http.Handler }
+
+func (l local) RoundTrip(r *http.Request) (res *http.Response, err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			if p != http.ErrAbortHandler { //nolint:errorlint // a panic value, not a wrapped error
-				panic(p)
-			}
-			status, answer = 0, ""
+			res, err = nil, errors.Newf("connection was cut: %v", p)
 		}
 	}()
-	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	w := httptest.NewRecorder()
+	in := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.String(), r.Body)
+	in.Header = r.Header
+	l.handler.ServeHTTP(w, in)
+	return w.Result(), nil
+}
+
+// do sends one call for failure domain a; status 0 means that the connection was cut without an answer.
+func do(s *plat.Server, method, path, body string) (status int, answer string) {
+	r, _ := http.NewRequest(method, "http://platform"+path, strings.NewReader(body))
 	r.Header.Set(plat.DomainHeader, "a")
-	s.Handler().ServeHTTP(w, r)
-	return w.Code, strings.TrimSpace(w.Body.String())
-}
-
-// Guards against a lost answer that can not be resolved, and against a repeat that applies twice.
-func TestLostAnswerIsResolvedByItsToken(t *testing.T) {
-	const commit = `{"token":"t1","checks":[{"key":"k","version":0}],"puts":[{"key":"k","value":"eA=="}]}`
-	var s plat.Server
-	s.SetFaults(plat.Faults{LoseAnswers: 1})
-	status, _ := do(&s, "POST", "/v1/table/commit", commit)
-	assert.Equal(t, status, 0)
-
-	s.SetFaults(plat.Faults{})
-	_, answer := do(&s, "GET", "/v1/table/commits/t1", "")
-	assert.Equal(t, answer, `{"version":1}`)
-	_, answer = do(&s, "POST", "/v1/table/commit", commit)
-	assert.Equal(t, answer, `{"version":1}`)
-	_, answer = do(&s, "GET", "/v1/table/row?key=k", "")
-	assert.Equal(t, answer, `{"key":"k","value":"eA==","version":1}`)
+	res, err := local{s.Handler()}.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	text, _ := io.ReadAll(res.Body)
+	return res.StatusCode, strings.TrimSpace(string(text))
+}
+
+func commit(s *plat.Server, token string) (status int) {
+	status, _ = do(s, "POST", "/v1/table/commit", fmt.Sprintf(`{"token":%q,"puts":[{"key":%q,"value":""}]}`, token, token))
+	return status
+}
+
+func known(s *plat.Server, token string) bool {
+	status, _ := do(s, "GET", "/v1/table/commits/"+token, "")
+	return status == 200
+}
+
+// Guards against a write above the rate that is refused and applied all the same.
+func TestCallsAboveTheRateAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &plat.Server{WritesPerSecond: 2, ReadsPerSecond: 3}
+		assert.Equal(t, commit(s, "t1"), 200)
+		assert.Equal(t, commit(s, "t2"), 200)
+		assert.Equal(t, commit(s, "t3"), 429)
+		assert.Assert(t, !known(s, "t3"))
+		assert.Equal(t, s.Counts(), plat.Counts{Writes: 2, Reads: 1})
+		time.Sleep(time.Second)
+		assert.Equal(t, commit(s, "t3"), 200)
+		for range 3 {
+			assert.Assert(t, known(s, "t3"))
+		}
+		status, _ := do(s, "GET", "/v1/instances", "")
+		assert.Equal(t, status, 429)
+	})
+}
+
+// Guards against a transaction above the limits that real platforms would refuse.
+func TestTransactionLimits(t *testing.T) {
+	for _, c := range []struct {
+		rows, bytes, status int
+	}{{128, 0, 200}, {129, 0, 413}, {1, 256 << 10, 200}, {1, 256<<10 + 1, 413}} {
+		var puts []string
+		for i := range c.rows {
+			key := fmt.Sprintf("k%03d", i)
+			value := strings.Repeat("A", max(0, c.bytes-len(key))/3*4) + []string{"", "AA==", "AAA="}[max(0, c.bytes-len(key))%3]
+			puts = append(puts, fmt.Sprintf(`{"key":%q,"value":%q}`, key, value))
+		}
+		var s plat.Server
+		status, answer := do(&s, "POST", "/v1/table/commit", `{"token":"t","puts":[`+strings.Join(puts, ",")+`]}`)
+		assert.Equal(t, status, c.status, "%d rows, %d bytes: %s", c.rows, c.bytes, answer)
+		assert.Equal(t, known(&s, "t"), c.status == 200)
+	}
+}
+
+// Guards against a record of tokens that grows for ever or forgets the newest.
+func TestOnlyTheNewestTokensAreRemembered(t *testing.T) {
+	s := &plat.Server{Tokens: 2}
+	for _, token := range []string{"t1", "t2", "t3", "t3"} {
+		assert.Equal(t, commit(s, token), 200)
+	}
+	assert.Assert(t, !known(s, "t1") && known(s, "t2") && known(s, "t3"))
+}
+
+// Guards against a fault that does not show what a real outage would: change and answer are independent.
+func TestFaultsOfCommits(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		faults   plat.Faults
+		during   plat.Faults // in force from one second after the call
+		status   int
+		after    time.Duration // when the call has ended
+		tookPart bool
+	}{
+		{"none", plat.Faults{}, plat.Faults{}, 200, 0, true},
+		{"down", plat.Faults{Down: true}, plat.Faults{Down: true}, 503, 0, false},
+		{"slow", plat.Faults{SlowMs: 5000}, plat.Faults{}, 200, 5 * time.Second, true},
+		{"goes down while slow", plat.Faults{SlowMs: 5000}, plat.Faults{Down: true}, 503, 5 * time.Second, false},
+		{"lost", plat.Faults{LoseAnswers: 1}, plat.Faults{}, 0, 0, true},
+		{"cut", plat.Faults{CutDomains: []string{"a"}}, plat.Faults{}, 0, 3 * time.Second, false},
+		{"other domain is cut", plat.Faults{CutDomains: []string{"b"}}, plat.Faults{}, 200, 0, true},
+		{"cut while slow", plat.Faults{SlowMs: 5000}, plat.Faults{CutDomains: []string{"a"}}, 0, 8 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var s plat.Server
+				began := time.Now()
+				s.SetFaults(c.faults)
+				time.AfterFunc(time.Second, func() { s.SetFaults(c.during) })
+				assert.Equal(t, commit(&s, "t"), c.status)
+				assert.Equal(t, time.Since(began), c.after)
+				time.Sleep(time.Second)
+				s.SetFaults(plat.Faults{})
+				assert.Equal(t, known(&s, "t"), c.tookPart)
+			})
+		})
+	}
+}
+
+// Guards against lost answers that differ between two runs with one seed.
+func TestLostAnswersFollowTheSeed(t *testing.T) {
+	run := func(seed uint64) (lost string) {
+		s := &plat.Server{Seed: seed}
+		s.SetFaults(plat.Faults{LoseAnswers: 0.5})
+		for i := range 64 {
+			lost += fmt.Sprint(commit(s, fmt.Sprint("t", i)), " ")
+		}
+		return lost
+	}
+	assert.Equal(t, run(1), run(1))
+	assert.Assert(t, run(1) != run(2))
+}
+
+// Guards against a list that shows changes too early, or goes back when the lag grows.
+func TestListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s plat.Server
+		state := func() string {
+			_, answer := do(&s, "GET", "/v1/instances", "")
+			_, rest, _ := strings.Cut(answer, `"state":"`)
+			return strings.SplitN(rest, `"`, 2)[0]
+		}
+		s.SetFaults(plat.Faults{ListLagMs: 5000})
+		assert.NilError(t, s.Register(plat.Instance{Name: "e", Role: "entry", Address: "x", FailureDomain: "a", State: "live"}))
+		time.Sleep(4999 * time.Millisecond)
+		assert.Equal(t, state(), "")
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, state(), "live")
+		s.Remove("e")
+		time.Sleep(4 * time.Second)
+		s.SetFaults(plat.Faults{ListLagMs: 20000})
+		assert.Equal(t, state(), "live")
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, state(), "live")
+		time.Sleep(time.Second)
+		assert.Equal(t, state(), "gone")
+	})
+}
+
+// Guards against an instance that stays unknown because the platform was down at its start.
+func TestAnnouncerTriesUntilThePlatformAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s plat.Server
+		a := plat.Announcer{URL: "http://platform", Client: &http.Client{Transport: local{s.Handler()}}}
+		in := plat.Instance{Name: "e", Role: "entry", Address: "x", FailureDomain: "a", State: "live", Incarnation: 2}
+		s.SetFaults(plat.Faults{Down: true})
+		time.AfterFunc(time.Minute, func() { s.SetFaults(plat.Faults{}) })
+		assert.NilError(t, a.Announce(t.Context(), in))
+
+		in.Incarnation = 1
+		assert.ErrorContains(t, a.Announce(t.Context(), in), "409")
+		s.SetFaults(plat.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		assert.ErrorContains(t, a.Announce(ctx, in), "503")
+	})
+}
+
+// Guards against a commit from outside that breaks the table: a refused one must leave no trace.
+func FuzzCommit(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body string) {
+		var s plat.Server
+		assert.Equal(t, commit(&s, "before"), 200)
+		_, before := do(&s, "GET", "/v1/table/rows?prefix=", "")
+		status, answer := do(&s, "POST", "/v1/table/commit", body)
+		_, after := do(&s, "GET", "/v1/table/rows?prefix=", "")
+		switch status {
+		case 200:
+			repeat, again := do(&s, "POST", "/v1/table/commit", body)
+			assert.Equal(t, fmt.Sprint(repeat, again), fmt.Sprint(status, answer))
+		case 400, 409, 413:
+			assert.Equal(t, before, after)
+		default:
+			t.Fatalf("status %d: %s", status, answer)
+		}
+	})
+}
+
+// Guards against a registration from outside that the list can not hold.
+func FuzzRegister(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body string) {
+		var s plat.Server
+		status, _ := do(&s, "PUT", "/v1/instances/e", body)
+		assert.Assert(t, status == 200 || status == 400, "status %d", status)
+		_, list := do(&s, "GET", "/v1/instances", "")
+		assert.Equal(t, strings.Contains(list, `"name":"e"`), status == 200)
+	})
 }
--- a/internal/plat/server.go
+++ b/internal/plat/server.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,9 @@
 	WritesPerSecond float64
 	ReadsPerSecond  float64
 
+	// Tokens is how many commit tokens are remembered; 0 means 65,536.
+	Tokens int
+
 	// Seed drives the choice of answers that are lost.
 	Seed uint64
 
@@ -105,7 +109,7 @@
 	s.reads = limiter(s.ReadsPerSecond)
 	s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 	s.objects = make(map[string][]byte)
-	s.table.init()
+	s.table.init(cmp.Or(s.Tokens, defaultTokens))
 	s.list.init()
 }
 
--- a/internal/plat/table.go
+++ b/internal/plat/table.go
@@ -15,8 +15,8 @@
 	maxTokenBytes = 256
 	maxScan       = 1000
 
-	// maxTokens keeps the tokens of more than three minutes at 300 writes/s.
-	maxTokens = 65536
+	// defaultTokens keeps the tokens of more than three minutes at 300 writes/s.
+	defaultTokens = 65536
 )
 
 // Commit is one transaction: it applies all puts and deletes if every check holds.
@@ -67,11 +67,13 @@
 	rows    map[string]Row
 	keys    []string // sorted
 
-	tokens map[string]int64
-	order  []string // tokens from oldest to newest
+	tokens    map[string]int64
+	order     []string // tokens from oldest to newest
+	maxTokens int
 }
 
-func (t *table) init() {
+func (t *table) init(maxTokens int) {
+	t.maxTokens = maxTokens
 	t.rows = make(map[string]Row)
 	t.tokens = make(map[string]int64)
 }
@@ -162,7 +164,7 @@
 func (t *table) remember(token string) {
 	t.tokens[token] = t.version
 	t.order = append(t.order, token)
-	if len(t.order) > maxTokens {
+	if len(t.order) > t.maxTokens {
 		delete(t.tokens, t.order[0])
 		t.order = t.order[1:]
 	}
