--- a/internal/back/listen.go
+++ b/internal/back/listen.go
@@ -16,6 +16,10 @@
 const (
 	leaveTimeout = 2 * time.Second
 
+	// frozenBuffer is about a socket buffer. Without it a writer over net.Pipe would block
+	// with its first byte, which no writer to a silent TCP connection does.
+	frozenBuffer = 64 << 10
+
 	// maxStreams is above any number of slots, so that the server refuses work in words
 	// instead of leaving it waiting for a stream.
 	maxStreams = 1024
@@ -31,6 +35,9 @@
 		Handler:   s.Handler(),
 		Protocols: protocols,
 		HTTP2:     &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(s.conns.listen(l, s.Connections)) }()
@@ -72,6 +79,9 @@
 	return s.announce(ctx, state)
 }
 
+// connKey is the context key of the connection that a call came over.
+type connKey struct{}
+
 // connSet holds the open connections, so that they can be frozen.
 type connSet struct {
 	mu     sync.Mutex
@@ -83,16 +93,20 @@
 	return &listener{Listener: l, set: c, slots: make(chan struct{}, limit), done: make(chan struct{})}
 }
 
-// freeze stops the reading and writing of all open connections for good.
-func (c *connSet) freeze() {
+// freeze stops the reading and writing of all open connections but one for good.
+func (c *connSet) freeze(except *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := range c.open {
+		if k == except {
+			continue
+		}
 		close(k.frozen)
 		k.free()
+		go k.drop()
 		c.frozen = append(c.frozen, k)
+		delete(c.open, k)
 	}
-	c.open = nil
 }
 
 func (c *connSet) closeFrozen() {
@@ -185,6 +199,11 @@
 	return k.Conn.Write(p)
 }
 
+// drop takes what the buffers of a network would still take from the other side.
+func (k *conn) drop() {
+	_, _ = io.CopyN(io.Discard, k.Conn, frozenBuffer)
+}
+
 // silent returns false at once on a working connection, and true after the close of a frozen one.
 func (k *conn) silent() bool {
 	select {
