work: refuse a sync that a later claim of the same owner has overtaken

Cause: a sync that was given up by its owner and delivered late, after the owner had claimed the worker again, started tasks which the claim's answer had said are not held. The owner would start them elsewhere too. Change: claims carry the sequence as well, and the worker keeps one order. Conclusion: the order of calls is enforced where the effect happens.

--- a/internal/work/handler.go
+++ b/internal/work/handler.go
@@ -96,6 +96,9 @@
 	if current > before {
 		s.sequence = 0
 	}
+	if !s.inOrder(c.Sequence) {
+		return http.StatusConflict, Refused{Epoch: current, Sequence: s.sequence}
+	}
 	return http.StatusOK, Claimed{
 		Incarnation: s.incarnation,
 		ClockMs:     now.Milliseconds(),
@@ -124,8 +127,9 @@
 	return http.StatusOK, Synced{ClockMs: now.Milliseconds(), Starts: started, Tasks: s.report(now)}
 }
 
-// inOrder refuses a sync that was overtaken by a later one of the same epoch: its stops and
-// forgets could hit a later attempt of a task. Sequence 0 is always accepted.
+// inOrder refuses a call that was overtaken by a later one of the same epoch: its stops and
+// forgets could hit a later attempt of a task, and its starts would run what the answer to
+// the later call said is not held. Sequence 0 is always accepted.
 func (s *Server) inOrder(sequence int64) bool {
 	if sequence == 0 {
 		return true
--- a/internal/work/wire.go
+++ b/internal/work/wire.go
@@ -67,6 +67,8 @@
 type Claim struct {
 	Owner string `json:"owner"`
 	Epoch int64  `json:"epoch"`
+	// Sequence, if not 0, must be above that of every earlier call of the epoch.
+	Sequence int64 `json:"sequence,omitempty"`
 }
 
 // Claimed is the answer to an accepted claim.
