sched: random fault runs, and three faults that they found

Change: a claim's incarnation counts as known; the search for a lost answer ends after 6 s and the record is written again; a success looks at the whole job.

--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -40,6 +40,7 @@
 	handlers map[string]http.Handler
 	cut      map[[2]string]bool
 	paused   map[string]chan struct{}
+	calls    sync.WaitGroup
 }
 
 // link is the network as seen by one instance.
@@ -99,7 +100,7 @@
 		trace.GotConn(httptrace.GotConnInfo{})
 	}
 	answer := make(chan *http.Response, 1)
-	go l.deliver(req, handler, answer)
+	l.net.calls.Go(func() { l.deliver(req, handler, answer) })
 	select {
 	case res := <-answer:
 		l.net.awake(l.from)
@@ -164,10 +165,16 @@
 	r.ctx, cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		if t.Failed() {
+			r.dumpStatus()
 			r.dump()
 		}
 		cancel()
+		r.platform.SetFaults(plat.Faults{})
+		for _, w := range r.workers {
+			w.SetFaults(work.Faults{})
+		}
 		r.wg.Wait()
+		r.net.calls.Wait()
 	})
 	r.events.Clock = &event.Clock{}
 	r.config.Apply(config.Page{Whole: true})
@@ -351,3 +358,20 @@
 		}
 	}
 }
+
+func (n *network) isPaused(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused[name] != nil
+}
+
+// dumpStatus logs what the owners know at the end of a failed test.
+func (r *rig) dumpStatus() {
+	for name, n := range r.nodes {
+		if s := n.owner.Status(); s != nil {
+			r.t.Logf("%s epoch %d jobs %+v", name, s.Epoch, s.Jobs)
+			r.t.Logf("%s workers %+v", name, s.Workers)
+			r.t.Logf("%s counters refused %d unknown %d", name, n.owner.Counters().SavesRefused.Load(), n.owner.Counters().SavesUnknown.Load())
+		}
+	}
+}
--- a/internal/sched/save.go
+++ b/internal/sched/save.go
@@ -18,6 +18,9 @@
 	// saveInterval keeps the owner within its budget of three transactions a second.
 	saveInterval = 334 * time.Millisecond
 
+	// saveLimit bounds the search for a lost answer.
+	saveLimit = 6 * time.Second
+
 	// saveRetry is the pause after a transaction that was not committed.
 	saveRetry = time.Second
 
@@ -64,11 +67,19 @@
 		case <-ctx.Done():
 			return
 		case req := <-t.saves:
-			t.saved <- saveResult{result: t.owner.Commit(ctx, req.commit)}
+			t.saved <- saveResult{result: t.save(ctx, req.commit)}
 		}
 	}
 }
 
+// save commits a transaction; when its outcome stays unknown, the next one
+// writes the same records again.
+func (t *term) save(ctx context.Context, c table.Commit) table.Result {
+	ctx, cancel := context.WithTimeout(ctx, saveLimit)
+	defer cancel()
+	return t.owner.Commit(ctx, c)
+}
+
 // startSave sends what has changed in one transaction, fenced by the epoch.
 func (t *term) startSave() {
 	now := t.now()
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -202,6 +202,10 @@
 	jb.ends = append(jb.ends, ended{worker: w, id: tk.id})
 	t.markDirty(jb)
 	t.finishIfDone(jb)
+	if jb.record.Job.Kind == config.KindAllAtOnce {
+		// The last task that still ran may have held up a new start of the others.
+		t.admitGang(jb)
+	}
 }
 
 // retry runs a failed task, or an ended task of a service, again after a pause.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -44,9 +44,8 @@
 	gone     bool
 	cordoned bool
 
-	incarnation int64
-	capacity    place.Resources
-	tasks       map[string]*task
+	capacity place.Resources
+	tasks    map[string]*task
 
 	// pending is a clock reading of the worker not yet proven; base is the
 	// newest proven one.
@@ -346,7 +345,9 @@
 func (t *term) receiveClaim(w *worker, c agent.Claimed, now time.Time) {
 	name := w.member.Name
 	w.claimed = true
-	w.incarnation = c.Incarnation
+	// The list lags: an instance that has been claimed is not to be taken for a
+	// new one when the list shows it later.
+	w.member.Incarnation = max(w.member.Incarnation, c.Incarnation)
 	w.capacity = place.Resources(c.Capacity)
 	w.pendingAt = time.Time{}
 	w.hasBase = false
