--- a/pkg/usage/book.go
+++ b/pkg/usage/book.go
@@ -10,9 +10,13 @@
 	defaultPercentile = 0.95
 	defaultMargin     = 0.15
 	defaultMinReports = 20
+	defaultMinSpan    = time.Minute
 	defaultMinRuns    = 3
 	defaultHalfLife   = 24 * time.Hour
 	defaultPeakWindow = 10 * time.Minute
+	// defaultLeastCPU is in thousandths of a core, defaultLeastMemory in MB.
+	defaultLeastCPU    = 50
+	defaultLeastMemory = 32
 
 	// runHalfLife is the number of runs after which a run time weighs half.
 	runHalfLife = 32
@@ -36,12 +40,17 @@
 	PeakWindow time.Duration
 	// HalfLife is the age at which a report weighs half. Default 24 h.
 	HalfLife time.Duration
-	// MinReports is the number of reports from which the declared size no longer counts. Default 20.
+	// MinReports is the number of reports from which the declared size no longer counts, when
+	// they cover at least MinSpan: the first seconds of a task say little. Defaults 20 and 1 min.
 	MinReports int
+	MinSpan    time.Duration
 	// MinRuns is the number of finished runs from which a run time is known. Default 3.
 	MinRuns int
 	// Capacity is the largest size that a learned estimate has; 0 means no bound in that dimension.
 	Capacity Amount
+	// Least is the smallest learned estimate, so that an idle job is not packed without bound.
+	// Default 50 thousandths of a core and 32 MB.
+	Least Amount
 
 	jobs  map[string]*list.Element
 	order list.List
@@ -55,6 +64,7 @@
 	cpu      histogram
 	mem      histogram
 	run      histogram
+	oldest   time.Time
 	newest   time.Time
 	peak     Amount
 	previous Amount
@@ -62,10 +72,15 @@
 }
 
 // Observe counts a report of what one task of the job used at the time at. Values below
-// zero count as zero. A report that is older than the newest one weighs less by its age.
+// zero count as zero. A report that is older than the newest one weighs less by its age, so
+// the order of arrival does not matter. The caller bounds at by its own clock: a report from
+// the future would make all others count as old.
 func (b *Book) Observe(job string, used Amount, at time.Time) {
 	e := b.touch(job)
 	used = used.Max(Amount{})
+	if e.reports == 0 || at.Before(e.oldest) {
+		e.oldest = at
+	}
 	late := 0.0
 	if at.After(e.newest) {
 		if e.reports > 0 {
@@ -106,7 +121,7 @@
 	e.runs++
 }
 
-// Size returns what a new task of the job should be granted. Until MinReports reports it
+// Size returns what a new task of the job should be granted. Until enough reports it
 // is the declared size, or the recent peak where that is larger; then it is the percentile
 // plus the margin, not below the recent peak by more than BelowPeak. The learned part never
 // exceeds Capacity; a declared size above it is returned as it is, so that it is reported
@@ -117,12 +132,25 @@
 		return declared
 	}
 	floor := e.peak.Max(e.previous).times(1 - b.BelowPeak)
-	if e.reports < orInt(b.MinReports, defaultMinReports) {
+	if !b.learned(e) {
 		return declared.Max(floor.cap(b.Capacity))
 	}
 	q := orFloat(b.Percentile, defaultPercentile)
-	learned := Amount{e.cpu.quantile(q), e.mem.quantile(q)}
-	return learned.times(1 + orFloat(b.Margin, defaultMargin)).Max(floor).cap(b.Capacity)
+	size := Amount{e.cpu.quantile(q), e.mem.quantile(q)}.times(1 + orFloat(b.Margin, defaultMargin))
+	return size.Max(floor).Max(b.least()).cap(b.Capacity)
+}
+
+// learned reports whether the reports are enough to replace the declared size.
+func (b *Book) learned(e *entry) bool {
+	return e.reports >= orInt(b.MinReports, defaultMinReports) &&
+		e.newest.Sub(e.oldest) >= orDuration(b.MinSpan, defaultMinSpan)
+}
+
+func (b *Book) least() Amount {
+	return Amount{
+		CPUMillis: int64(orInt(int(b.Least.CPUMillis), defaultLeastCPU)),
+		MemoryMB:  int64(orInt(int(b.Least.MemoryMB), defaultLeastMemory)),
+	}
 }
 
 // RunTime returns how long a task of the job is expected to run: the percentile of its
--- /dev/null
+++ b/pkg/usage/property_test.go
@@ -0,0 +1,143 @@
+package usage_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/daisyrack/daisyrack/pkg/usage"
+)
+
+var limit = usage.Amount{CPUMillis: 16_000, MemoryMB: 65_536}
+
+type report struct {
+	used usage.Amount
+	at   time.Time
+}
+
+var genReport = rapid.Custom(func(t *rapid.T) report {
+	return report{
+		usage.Amount{CPUMillis: rapid.Int64Range(-1, 20_000).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(-1, 80_000).Draw(t, "mem")},
+		start.Add(time.Duration(rapid.IntRange(0, 200_000).Draw(t, "s")) * time.Second),
+	}
+})
+
+func observe(b *usage.Book, reports []report) {
+	for _, r := range reports {
+		b.Observe("a", r.used, r.at)
+	}
+}
+
+// Guards against an estimate above the capacity, below the recent peak, or below the least size.
+func TestEstimatesStayWithinTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := usage.Book{Capacity: limit, BelowPeak: rapid.Float64Range(0, 0.9).Draw(t, "belowPeak")}
+		reports := rapid.SliceOfN(genReport, 20, 60).Draw(t, "reports")
+		observe(&b, reports)
+		newest := slices.MaxFunc(reports, func(a, b report) int { return a.at.Compare(b.at) })
+		if newest.at.Sub(slices.MinFunc(reports, func(a, b report) int { return a.at.Compare(b.at) }).at) < time.Minute {
+			return
+		}
+		got := b.Size("a", usage.Amount{CPUMillis: 1 << 40, MemoryMB: 1 << 40})
+		floor := func(peak, most int64) int64 { return min(int64(float64(peak)*(1-b.BelowPeak)), most) }
+		assert.Assert(t, got.CPUMillis <= limit.CPUMillis && got.MemoryMB <= limit.MemoryMB, "%+v", got)
+		assert.Assert(t, got.CPUMillis >= floor(newest.used.CPUMillis, limit.CPUMillis), "%+v after %+v", got, newest)
+		assert.Assert(t, got.MemoryMB >= floor(newest.used.MemoryMB, limit.MemoryMB), "%+v after %+v", got, newest)
+		assert.Assert(t, got.CPUMillis >= 50 && got.MemoryMB >= 32, "%+v", got)
+	})
+}
+
+// Guards against estimates that depend on the order in which delayed reports arrive, or
+// that a restart changes.
+func TestOrderAndRestartDoNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(genReport, 1, 60).Draw(t, "reports")
+		// BelowPeak 1 leaves out the peak, whose windows do follow the order.
+		a, b, c := usage.Book{BelowPeak: 1}, usage.Book{BelowPeak: 1}, usage.Book{BelowPeak: 1}
+		observe(&a, reports)
+		observe(&b, rapid.Permutation(reports).Draw(t, "order"))
+		assert.NilError(t, c.Restore(a.Snapshot()))
+		declared := usage.Amount{CPUMillis: 7, MemoryMB: 7}
+		assert.Equal(t, b.Size("a", declared), a.Size("a", declared))
+		assert.Equal(t, c.Size("a", declared), a.Size("a", declared))
+	})
+}
+
+// Guards against memory that grows with the number of jobs, and against forgetting the used ones.
+func TestLeastRecentlyUsedJobIsForgotten(t *testing.T) {
+	b := usage.Book{MaxJobs: 3}
+	for i := range 10 {
+		b.Finished("kept", time.Minute)
+		b.Finished("j"+strconv.Itoa(i), time.Minute)
+	}
+	assert.Equal(t, b.Len(), 3)
+	_, known := b.RunTime("kept", 0)
+	assert.Assert(t, known)
+	small := usage.Book{MaxJobs: 1}
+	assert.NilError(t, small.Restore(b.Snapshot()))
+	assert.Equal(t, small.Len(), 1)
+	_, known = small.RunTime("kept", 0)
+	assert.Assert(t, known)
+}
+
+// Guards against a damaged snapshot that replaces what was learned.
+func TestRestoreRefusesDamage(t *testing.T) {
+	var b usage.Book
+	b.Finished("a", time.Minute)
+	before := string(b.Snapshot())
+	for _, data := range []string{
+		"", "{}", `{"version":2}`, `{"version":1,"jobs":[{"job":""}]}`, `{"version":1,"jobs":[{"job":"x","reports":-1}]}`,
+		`{"version":1,"jobs":[{"job":"x","cpu":{"slots":[1],"weights":[]}}]}`,
+		`{"version":1,"jobs":[{"job":"x","cpu":{"slots":[192],"weights":[1]}}]}`,
+		`{"version":1,"jobs":[{"job":"x","cpu":{"slots":[1],"weights":[-1]}}]}`,
+	} {
+		assert.ErrorIs(t, b.Restore([]byte(data)), usage.ErrSnapshot, data)
+		assert.Equal(t, string(b.Snapshot()), before)
+	}
+}
+
+// Guards against families that mix different work.
+func TestFamilyDropsTrailingNumbers(t *testing.T) {
+	for job, want := range map[string]string{
+		"report-2026-12-04": "report", "report_17": "report", "v2-report": "v2-report", "2026": "2026", "": "",
+	} {
+		assert.Equal(t, usage.Family(job), want)
+	}
+}
+
+// Guards against estimates that cover too little of later use; logs what is saved against
+// sizes declared four times too high.
+func TestEstimatesCoverLaterUse(t *testing.T) {
+	for _, percentile := range []float64{0.9, 0.95, 0.99} {
+		for _, margin := range []float64{0.01, 0.15, 0.3} {
+			covered, granted, n := 0, 0.0, 0
+			for seed := uint64(1); seed <= 20; seed++ {
+				rnd := rand.New(rand.NewPCG(seed, 0))
+				b := usage.Book{Percentile: percentile, Margin: margin, BelowPeak: 1}
+				median := 500 + rnd.Float64()*4000
+				draw := func() int64 { return int64(median * math.Exp(0.4*rnd.NormFloat64())) }
+				for i := range 500 {
+					b.Observe("a", usage.Amount{CPUMillis: draw(), MemoryMB: 1}, start.Add(time.Duration(i)*10*time.Second))
+				}
+				size := b.Size("a", usage.Amount{}).CPUMillis
+				granted += float64(size) / (4 * median) / 20
+				for range 1000 {
+					n++
+					if draw() <= size {
+						covered++
+					}
+				}
+			}
+			share := float64(covered) / float64(n)
+			t.Logf("seeds 1 to 20, percentile %.2f, margin %.2f: %.4f of later use covered, %.2f of the declared size granted",
+				percentile, margin, share, granted)
+			assert.Assert(t, share >= percentile-0.02)
+		}
+	}
+}
--- a/pkg/usage/snapshot.go
+++ b/pkg/usage/snapshot.go
@@ -26,6 +26,7 @@
 	CPU      savedHistogram `json:"cpu"`
 	Memory   savedHistogram `json:"memory"`
 	Run      savedHistogram `json:"run"`
+	Oldest   time.Time      `json:"oldest"`
 	Newest   time.Time      `json:"newest"`
 	Peak     Amount         `json:"peak"`
 	Previous Amount         `json:"previous"`
@@ -45,7 +46,7 @@
 		e := el.Value.(*entry)
 		out.Jobs = append(out.Jobs, savedJob{
 			e.job, e.reports, e.runs, e.cpu.save(), e.mem.save(), e.run.save(),
-			e.newest, e.peak, e.previous, e.peakAt,
+			e.oldest, e.newest, e.peak, e.previous, e.peakAt,
 		})
 	}
 	data, err := json.Marshal(out)
@@ -60,7 +61,7 @@
 func (b *Book) Restore(data []byte) error {
 	var in savedBook
 	if err := json.Unmarshal(data, &in); err != nil {
-		return errors.Mark(errors.Wrap(err, "usage: unable to decode a snapshot"), ErrSnapshot)
+		return errors.Wrapf(ErrSnapshot, "%v", err)
 	}
 	if in.Version != version {
 		return errors.Wrapf(ErrSnapshot, "version %d, want %d", in.Version, version)
@@ -86,7 +87,7 @@
 		return errors.Wrapf(ErrSnapshot, "job %q: %d reports, %d runs", s.Job, s.Reports, s.Runs)
 	}
 	e := b.touch(s.Job)
-	e.reports, e.runs, e.newest = s.Reports, s.Runs, s.Newest
+	e.reports, e.runs, e.oldest, e.newest = s.Reports, s.Runs, s.Oldest, s.Newest
 	e.peak, e.previous, e.peakAt = s.Peak, s.Previous, s.PeakAt
 	for _, part := range []struct {
 		to   *histogram
