route: compare selection policies, measure the added latency, random faults

Change: package trial simulates 17 servers, one five times slower, two entry instances, load reports every second; the cost is a type of its own that both use. Two lender tests: admission under full demand, old grants. The bound in mayEjectLocked alone and the short read alone are covered twice: removing one of the two checks fails no test.

--- a/pkg/route/do.go
+++ b/pkg/route/do.go
@@ -127,7 +127,7 @@
 		return
 	}
 	a.judged = true
-	a.server.observe(now, now.Sub(a.start))
+	a.server.latency.Observe(now, now.Sub(a.start))
 	a.server.failed(now)
 }
 
@@ -188,7 +188,7 @@
 	}
 	switch res.outcome {
 	case Answered:
-		s.observe(now, now.Sub(a.start))
+		s.latency.Observe(now, now.Sub(a.start))
 		if a.late {
 			st.LateAnswers++
 			return
--- a/pkg/route/do_test.go
+++ b/pkg/route/do_test.go
@@ -94,6 +94,9 @@
 					if want == route.Answered {
 						assert.Equal(t, string(ans.Body), id)
 					}
+					if name == "silent after write" {
+						assert.Equal(t, x.Snapshot()[0].Failures, 0, "the server itself is not at fault")
+					}
 					st := x.Stats()
 					assert.Equal(t, st.Answered+st.Refused+st.Failed+st.Unknown, uint64(1))
 					time.Sleep(time.Minute)
--- a/pkg/route/fake_test.go
+++ b/pkg/route/fake_test.go
@@ -20,7 +20,7 @@
 
 // fake is a backend server whose log proves how often each request ran.
 type fake struct {
-	t           *testing.T
+	t           testing.TB
 	name        string
 	mu          sync.Mutex
 	runs        map[string]int
@@ -37,7 +37,7 @@
 	cutAfter    int64 // bytes after which new connections close; 0 means never
 }
 
-func newFake(t *testing.T, name string) *fake {
+func newFake(t testing.TB, name string) *fake {
 	f := &fake{t: t, name: name, runs: make(map[string]int), incarnation: 1, state: "live", accept: make(chan net.Conn, 16), closed: make(chan struct{})}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -140,7 +140,7 @@
 		return len(p), nil
 	}
 	if g.written.Add(int64(len(p))) > g.limit && g.limit > 0 {
-		_ = g.Conn.Close()
+		_ = g.Close()
 	}
 	return g.Conn.Write(p)
 }
@@ -168,7 +168,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.gates {
-		_ = g.Conn.Close()
+		_ = g.Close()
 	}
 }
 
--- a/pkg/route/lender_test.go
+++ b/pkg/route/lender_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -16,10 +15,10 @@
 // holder is an entry instance as the lender's property test sees it.
 type holder struct {
 	router *route.Router
-	inbox  []reply2
+	inbox  []message
 }
 
-type reply2 struct {
+type message struct {
 	sent   time.Time
 	due    time.Time
 	grants []route.Grant
@@ -37,7 +36,7 @@
 		list := []route.Backend{{Name: "b", Slots: slots, Address: "10.0.0.1:1"}}
 		lender.Backends(now, list)
 		holders := map[string]*holder{}
-		granted := map[string][]reply2{}
+		granted := map[string][]message{}
 		peers := 0
 		steps := rapid.IntRange(10, 120).Draw(t, "steps")
 		for range steps {
@@ -60,7 +59,7 @@
 				wanted := rapid.IntRange(0, slots).Draw(t, "wanted")
 				lender.Demand(now, name, []route.Demand{{Backend: "b", Wanted: wanted}})
 				grants := lender.Grants(now, name)
-				m := reply2{sent: now, due: now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "delay")) * time.Millisecond), grants: grants}
+				m := message{sent: now, due: now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "delay")) * time.Millisecond), grants: grants}
 				h.inbox = append(h.inbox, m)
 				granted[name] = append(granted[name], m)
 			}
@@ -100,7 +99,7 @@
 // deliver hands over the replies that are due, newest first.
 func (h *holder) deliver(now time.Time) {
 	slices.Reverse(h.inbox)
-	h.inbox = slices.DeleteFunc(h.inbox, func(m reply2) bool {
+	h.inbox = slices.DeleteFunc(h.inbox, func(m message) bool {
 		if now.Before(m.due) {
 			return false
 		}
@@ -172,15 +171,41 @@
 	}
 }
 
-// Guards against an instance without a base share that never asks, and one that asks for
-// more than it needs.
-func TestDemandsFollowUse(t *testing.T) {
+// Guards against an instance without a base share that never asks or uses a grant too long.
+func TestGrantsLastForTheirLease(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	r := &route.Router{Now: func() time.Time { return now }, Random: rand.New(rand.NewPCG(1, 2)).IntN}
+	r := &route.Router{Now: func() time.Time { return now }}
 	r.Set([]route.Backend{{Name: "b", Slots: 8}})
 	r.SetPeers(9)
 	assert.DeepEqual(t, r.Demands(), []route.Demand{{Backend: "b", Wanted: 1}})
-	r.SetPeers(3)
+	assert.Equal(t, r.Free(), 0)
+	r.Grants(now, []route.Grant{{Backend: "b", Slots: 2, Lease: route.LeaseTime}})
+	r.Grants(now.Add(-time.Second), nil) // an older answer that arrives later
+	assert.Equal(t, r.Free(), 2)
+	for range 2 {
+		_, ok := r.Acquire("r")
+		assert.Check(t, ok)
+	}
 	_, ok := r.Acquire("r")
-	assert.Equal(t, ok, false, "the base share falls at once but the grant has not come")
+	assert.Check(t, !ok)
+	assert.DeepEqual(t, r.Demands(), []route.Demand{{Backend: "b", Wanted: 3}})
+	now = now.Add(route.LeaseTime)
+	assert.Equal(t, r.Snapshot()[0].Granted, 0)
+}
+
+// Guards against a new entry instance that waits for its base share for ever because the
+// others renew their grants.
+func TestNewHolderIsAdmittedUnderFullDemand(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var l route.Lender
+	l.Backends(now, []route.Backend{{Name: "b", Slots: 8}})
+	l.Members(now, []string{"e1", "e2", "e3"})
+	wants := map[string]int{"e1": 6, "e2": 6, "e3": 6}
+	got := lend(&l, now, 8*time.Second, wants)
+	assert.Equal(t, got["e1"]+got["e2"]+got["e3"], 2)
+	now = now.Add(8 * time.Second)
+	l.Members(now, []string{"e1", "e2", "e3", "e4"})
+	assert.Equal(t, l.Peers(now), 3, "grants of the old members still run")
+	lend(&l, now, 4*time.Second, wants)
+	assert.Equal(t, l.Peers(now.Add(4*time.Second)), 4)
 }
--- a/pkg/route/link.go
+++ b/pkg/route/link.go
@@ -252,7 +252,7 @@
 func (c *watchedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	var timeout net.Error
-	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
 		c.failed.Store(true)
 	}
 	return n, err
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -1,16 +1,8 @@
 package route
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
-	// latencyDecay is the time constant of the Peak-EWMA latency.
-	latencyDecay = 10 * time.Second
-	// minLatency keeps the number of outstanding requests in the cost of an idle server.
-	minLatency = 100 * time.Microsecond
-
 	ejectAfter = 5
 	minEject   = time.Second
 	maxEject   = 60 * time.Second
@@ -38,8 +30,7 @@
 	used     int
 	peak     int // highest use since the last Demands
 
-	latency   float64 // seconds
-	latencyAt time.Time
+	latency   Latency
 	avoidFrom time.Time // when it last refused or failed
 
 	failures   int // in a row
@@ -70,7 +61,7 @@
 	s.selfMarked = false
 	s.listedState = Live
 	s.failures, s.ejections, s.ejectUntil = 0, 0, time.Time{}
-	s.latency = 0
+	s.latency = Latency{}
 	go s.links.retire()
 }
 
@@ -99,21 +90,12 @@
 	}
 }
 
-// cost is Peak-EWMA latency times (outstanding+1), in seconds.
 func (s *server) cost(now time.Time) float64 {
-	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/latencyDecay.Seconds())
+	penalty := time.Duration(0)
 	if now.Sub(s.avoidFrom) < avoidPause {
-		latency += avoidCost.Seconds()
+		penalty = avoidCost
 	}
-	return max(latency, minLatency.Seconds()) * float64(s.used+1)
-}
-
-// observe adds a latency to the average; a peak replaces it at once.
-func (s *server) observe(now time.Time, d time.Duration) {
-	x := d.Seconds()
-	w := math.Exp(-now.Sub(s.latencyAt).Seconds() / latencyDecay.Seconds())
-	s.latency = max(x, s.latency*w+x*(1-w))
-	s.latencyAt = now
+	return s.latency.Cost(now, s.used, penalty)
 }
 
 // succeeded ends a row of failures.
@@ -140,7 +122,7 @@
 	st := Status{
 		Backend: s.Backend, Base: baseShare(s.Slots, peers), Used: s.used,
 		Ejected: ejected, SelfMarked: s.selfMarked, Failures: s.failures,
-		LatencyMs: s.latency * 1000,
+		LatencyMs: s.latency.seconds * 1000,
 	}
 	if now.Before(s.grantEnd) {
 		st.Granted = s.granted
--- /dev/null
+++ b/pkg/route/trial/doc.go
@@ -0,0 +1,2 @@
+// Package trial compares policies of backend server selection in simulated time.
+package trial
