Close gaps that mutation of the stand-ins showed

The forced close of frozen connections at a shutdown is removed, since the time limit of the shutdown does it. plat.Local carries calls to a handler in the same process and replaces three copies in tests.

--- a/internal/back/back_test.go
+++ b/internal/back/back_test.go
@@ -101,15 +101,6 @@
 	return got
 }
 
-// transport carries calls to a handler in the same process.
-type transport struct{ handler http.Handler }
-
-func (l transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	w := httptest.NewRecorder()
-	l.handler.ServeHTTP(w, r)
-	return w.Result(), nil
-}
-
 // Guards against an answer that is not the caller's own, and a record that misses a second run.
 func TestAnswersAndRunsBelongToTheirRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -153,7 +144,7 @@
 		var platform plat.Server
 		s := newServer()
 		s.Platform = "http://platform"
-		s.Client = &http.Client{Transport: transport{platform.Handler()}}
+		s.Client = &http.Client{Transport: plat.Local{Handler: platform.Handler()}}
 		listed := func() string {
 			w := httptest.NewRecorder()
 			platform.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/v1/instances", nil))
@@ -193,7 +184,6 @@
 		before := begin(client, "q2")
 		synctest.Wait()
 		s.SetFaults(back.Faults{Silent: true})
-		time.Sleep(time.Second)
 		assert.ErrorContains(t, run(client, "q3", "").err, "deadline")
 		assert.ErrorContains(t, (<-before).err, "deadline")
 		assert.DeepEqual(t, s.Runs().Requests, map[string]int{"q1": 1, "q2": 1})
@@ -269,10 +259,7 @@
 			began := time.Now()
 			for range 2000 {
 				last := time.Now()
-				r := httptest.NewRequest("POST", "/run/r", nil)
-				r.Header.Set(back.RequestIDHeader, "q")
-				r.Header.Set(back.DeadlineHeader, "1")
-				s.Handler().ServeHTTP(httptest.NewRecorder(), r)
+				post(s, "q", "1", "", "r", "")
 				assert.Assert(t, time.Since(last) >= time.Second)
 			}
 			mean = time.Since(began) / 2000
@@ -284,17 +271,31 @@
 	assert.Assert(t, run(1) > 2700*time.Millisecond && run(1) < 3300*time.Millisecond, "seed 1: %v", run(1))
 }
 
+// post hands a request to the handler without a connection.
+func post(s *back.Server, id, deadline, key, route, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", "/run/r", strings.NewReader(body))
+	r.URL.Path = "/run/" + route
+	r.Header.Set(back.RequestIDHeader, id)
+	r.Header.Set(back.DeadlineHeader, deadline)
+	r.Header.Set(back.IdempotencyKeyHeader, key)
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	return w
+}
+
+// Guards against a body above the limit that runs in part.
+func TestBodiesAreBounded(t *testing.T) {
+	s := &back.Server{Routes: map[string]back.ServiceTime{"r": {}}}
+	assert.Equal(t, post(s, "q1", "1", "", "r", strings.Repeat("x", 1<<20)).Code, 200)
+	assert.Equal(t, post(s, "q2", "1", "", "r", strings.Repeat("x", 1<<20+1)).Code, 413)
+	assert.DeepEqual(t, s.Runs().Requests, map[string]int{"q1": 1})
+}
+
 // Guards against headers from outside that crash the server or let a refused request run.
 func FuzzRun(f *testing.F) {
 	f.Fuzz(func(t *testing.T, id, deadline, key, route, body string) {
 		s := &back.Server{Routes: map[string]back.ServiceTime{"r": {}}}
-		r := httptest.NewRequest("POST", "/run/r", strings.NewReader(body))
-		r.URL.Path = "/run/" + route
-		r.Header.Set(back.RequestIDHeader, id)
-		r.Header.Set(back.DeadlineHeader, deadline)
-		r.Header.Set(back.IdempotencyKeyHeader, key)
-		w := httptest.NewRecorder()
-		s.Handler().ServeHTTP(w, r)
+		w := post(s, id, deadline, key, route, body)
 		ran := w.Code == 200
 		assert.Equal(t, s.Runs().Requests[id] == 1, ran, "status %d", w.Code)
 		assert.Assert(t, !ran || w.Body.String() == string(back.Body(id, []byte(body))))
--- a/internal/back/listen.go
+++ b/internal/back/listen.go
@@ -56,7 +56,8 @@
 	return errors.CombineErrors(err, s.leave(ctx, server))
 }
 
-// leave tells the platform, finishes the work in progress and closes the connections.
+// leave tells the platform, finishes the work in progress and closes the connections;
+// frozen ones never become idle and are closed by force.
 func (s *Server) leave(ctx context.Context, server *http.Server) error {
 	s.mu.Lock()
 	s.leaving = true
@@ -64,7 +65,6 @@
 	ctx = context.WithoutCancel(ctx)
 	_ = s.tell(ctx, plat.StateLeaving)
 	s.drain()
-	s.conns.closeFrozen()
 	stop, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := server.Shutdown(stop); err != nil {
@@ -84,9 +84,8 @@
 
 // connSet holds the open connections, so that they can be frozen.
 type connSet struct {
-	mu     sync.Mutex
-	open   map[*conn]struct{}
-	frozen []*conn
+	mu   sync.Mutex
+	open map[*conn]struct{}
 }
 
 func (c *connSet) listen(l net.Listener, limit int) net.Listener {
@@ -104,21 +103,10 @@
 		close(k.frozen)
 		k.free()
 		go k.drop()
-		c.frozen = append(c.frozen, k)
 		delete(c.open, k)
 	}
 }
 
-func (c *connSet) closeFrozen() {
-	c.mu.Lock()
-	frozen := c.frozen
-	c.frozen = nil
-	c.mu.Unlock()
-	for _, k := range frozen {
-		_ = k.Close()
-	}
-}
-
 func (c *connSet) add(k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -2,42 +2,25 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/internal/plat"
 )
 
-// local carries calls to a handler in the same process; a cut connection is an error.
-type local struct{ handler http.Handler }
-
-func (l local) RoundTrip(r *http.Request) (res *http.Response, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			res, err = nil, errors.Newf("connection was cut: %v", p)
-		}
-	}()
-	w := httptest.NewRecorder()
-	in := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.String(), r.Body)
-	in.Header = r.Header
-	l.handler.ServeHTTP(w, in)
-	return w.Result(), nil
-}
-
 // do sends one call for failure domain a; status 0 means that the connection was cut without an answer.
 func do(s *plat.Server, method, path, body string) (status int, answer string) {
 	r, _ := http.NewRequest(method, "http://platform"+path, strings.NewReader(body))
 	r.Header.Set(plat.DomainHeader, "a")
-	res, err := local{s.Handler()}.RoundTrip(r)
+	res, err := plat.Local{Handler: s.Handler()}.RoundTrip(r)
 	if err != nil {
 		return 0, ""
 	}
@@ -154,10 +137,14 @@
 func TestListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var s plat.Server
+		var asOf int64
 		state := func() string {
 			_, answer := do(&s, "GET", "/v1/instances", "")
-			_, rest, _ := strings.Cut(answer, `"state":"`)
-			return strings.SplitN(rest, `"`, 2)[0]
+			var list plat.Instances
+			assert.NilError(t, json.Unmarshal([]byte(answer), &list))
+			assert.Assert(t, list.AsOfMs >= asOf, "the list went back")
+			asOf = list.AsOfMs
+			return append(list.Instances, plat.Instance{})[0].State
 		}
 		s.SetFaults(plat.Faults{ListLagMs: 5000})
 		assert.NilError(t, s.Register(plat.Instance{Name: "e", Role: "entry", Address: "x", FailureDomain: "a", State: "live"}))
@@ -165,26 +152,30 @@
 		assert.Equal(t, state(), "")
 		time.Sleep(time.Millisecond)
 		assert.Equal(t, state(), "live")
+		assert.NilError(t, s.Register(plat.Instance{Name: "e", Role: "entry", Address: "x", FailureDomain: "a", State: "leaving"}))
+		time.Sleep(time.Second)
 		s.Remove("e")
 		time.Sleep(4 * time.Second)
 		s.SetFaults(plat.Faults{ListLagMs: 20000})
-		assert.Equal(t, state(), "live")
-		time.Sleep(15 * time.Second)
-		assert.Equal(t, state(), "live")
-		time.Sleep(time.Second)
+		assert.Equal(t, state(), "leaving", "visible before the lag grew")
+		time.Sleep(16*time.Second - 1)
+		assert.Equal(t, state(), "leaving")
+		time.Sleep(1)
 		assert.Equal(t, state(), "gone")
 	})
 }
 
-// Guards against an instance that stays unknown because the platform was down at its start.
+// Guards against an instance that stays unknown because the platform was slow or down at its start.
 func TestAnnouncerTriesUntilThePlatformAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var s plat.Server
-		a := plat.Announcer{URL: "http://platform", Client: &http.Client{Transport: local{s.Handler()}}}
+		a := plat.Announcer{URL: "http://platform", Client: &http.Client{Transport: plat.Local{Handler: s.Handler()}}}
 		in := plat.Instance{Name: "e", Role: "entry", Address: "x", FailureDomain: "a", State: "live", Incarnation: 2}
-		s.SetFaults(plat.Faults{Down: true})
+		s.SetFaults(plat.Faults{SlowMs: 3000})
+		began := time.Now()
 		time.AfterFunc(time.Minute, func() { s.SetFaults(plat.Faults{}) })
 		assert.NilError(t, a.Announce(t.Context(), in))
+		assert.Assert(t, time.Since(began) >= time.Minute, "a call is given up after 2 s")
 
 		in.Incarnation = 1
 		assert.ErrorContains(t, a.Announce(t.Context(), in), "409")
--- a/internal/spec/spec_test.go
+++ b/internal/spec/spec_test.go
@@ -168,29 +168,30 @@
 	return want == got
 }
 
-func TestPlatform(t *testing.T) {
-	base := os.Getenv("DAISYRACK_PLATFORM_URL")
-	if base == "" {
-		server := httptest.NewServer((&plat.Server{Seed: 1}).Handler())
-		defer server.Close()
-		runCases(t, "platform.json", server.URL, server.Client(), true)
+// runOver runs a table against the base URL in a variable of the environment, or else against a stand-in.
+func runOver(t *testing.T, table, variable string, standIn http.Handler) {
+	t.Helper()
+	if base := os.Getenv(variable); base != "" {
+		runCases(t, table, base, http.DefaultClient, false)
 		return
 	}
-	runCases(t, "platform.json", base, http.DefaultClient, false)
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	runCases(t, table, server.URL, server.Client(), true)
 }
 
+// Guards against a platform that differs from docs/protocols.md.
+func TestPlatform(t *testing.T) {
+	runOver(t, "platform.json", "DAISYRACK_PLATFORM_URL", (&plat.Server{Seed: 1}).Handler())
+}
+
+// Guards against a worker that differs from docs/protocols.md.
 func TestWorker(t *testing.T) {
-	base := os.Getenv("DAISYRACK_WORKER_URL")
-	if base == "" {
-		capacity := work.Resources{CPUMillis: 4000, MemoryMB: 4000}
-		server := httptest.NewServer((&work.Server{Name: "w", Capacity: capacity}).Handler())
-		defer server.Close()
-		runCases(t, "worker.json", server.URL, server.Client(), true)
-		return
-	}
-	runCases(t, "worker.json", base, http.DefaultClient, false)
+	s := &work.Server{Name: "w", Capacity: work.Resources{CPUMillis: 4000, MemoryMB: 4000}}
+	runOver(t, "worker.json", "DAISYRACK_WORKER_URL", s.Handler())
 }
 
+// Guards against a backend server that differs from docs/protocols.md, over either version of HTTP.
 func TestBackend(t *testing.T) {
 	for _, h2 := range []bool{false, true} {
 		t.Run(fmt.Sprintf("http2=%t", h2), func(t *testing.T) {
--- a/internal/work/work_test.go
+++ b/internal/work/work_test.go
@@ -130,6 +130,9 @@
 func TestTasksStopWhenTheClaimLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := claim(t, newWorker())
+		o.base += 1 << 58 // in nanoseconds this overflows to the present
+		assert.Equal(t, o.start(start("m", lease.Move, 0, ""), start("s", lease.Stay, 0, "")), "")
+		o.base -= 1 << 58
 		assert.Equal(t, o.start(start("m", lease.Move, 0, ""), start("s", lease.Stay, 0, "")), "ms")
 		time.Sleep(lease.MoveLimit - 1)
 		assert.DeepEqual(t, o.states(), []work.State{work.Running, work.Running})
@@ -156,10 +159,12 @@
 		assert.Equal(t, o.start(start("c", lease.Stay, 0, "")), "c")
 		res := o.sync(work.Sync{Stops: []string{"a"}, Starts: []work.Start{start("d", lease.Stay, 0, "")}})
 		assert.Assert(t, res.Starts[0].Accepted, "a stop makes room for a start of the same sync")
+		o.sync(work.Sync{Stops: []string{"c", "d"}})
+		assert.Equal(t, o.start(start("e", lease.Stay, 0, "")), "e")
 		record := s.History()
 		assert.Equal(t, record.Peak, work.Resources{CPUMillis: 800, MemoryMB: 20})
 		assert.DeepEqual(t, record.Runs[1], work.Run{ID: "b", Attempt: 1, Job: "j", StartMs: o.base, EndMs: o.base + 1000, End: "succeeded"})
-		assert.Equal(t, len(record.Runs), 4)
+		assert.Equal(t, len(record.Runs), 5)
 	})
 }
 
@@ -217,13 +222,35 @@
 	}
 }
 
+// Guards against a frozen worker on which calls pile up without bound.
+func TestHeldCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newWorker()
+		client := http.Client{Transport: plat.Local{Handler: s.Handler()}}
+		s.SetFaults(work.Faults{Frozen: true})
+		claims := func() error {
+			res, err := client.Post("http://w1/v1/claim", "", strings.NewReader(`{"owner":"o","epoch":1}`))
+			assert.Check(t, err != nil || res.StatusCode == 200)
+			return err
+		}
+		for range 64 {
+			go func() { assert.Check(t, claims()) }()
+		}
+		synctest.Wait()
+		assert.ErrorContains(t, claims(), "cut")
+		s.SetFaults(work.Faults{})
+		synctest.Wait()
+		assert.NilError(t, claims())
+	})
+}
+
 // Guards against a list that still shows a worker that has stopped, or its incarnation before a crash.
 func TestRunKeepsTheListUpToDate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var platform plat.Server
 		w := newWorker()
 		w.Platform = "http://platform"
-		w.Client = &http.Client{Transport: transport{platform.Handler()}}
+		w.Client = &http.Client{Transport: plat.Local{Handler: platform.Handler()}}
 		listed := func() (in plat.Instance) {
 			var list plat.Instances
 			res, err := w.Client.Get("http://platform/v1/instances")
@@ -251,15 +278,6 @@
 	})
 }
 
-// transport carries calls to a handler in the same process.
-type transport struct{ handler http.Handler }
-
-func (l transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	w := httptest.NewRecorder()
-	l.handler.ServeHTTP(w, r)
-	return w.Result(), nil
-}
-
 // Guards against a sync from outside that breaks the worker: whatever it says, grants stay within capacity.
 func FuzzSync(f *testing.F) {
 	f.Fuzz(func(t *testing.T, body string) {
@@ -268,6 +286,7 @@
 		s.Clock = func() time.Duration { return now }
 		o := claim(t, s)
 		o.start(start("held", lease.Stay, 1000, ""))
+		post(s, "/v1/sync", body)
 		w := post(s, "/v1/sync", body)
 		assert.Assert(t, w.Code == 200 || w.Code == 400 || w.Code == 409, "status %d", w.Code)
 		now += 24 * time.Hour
