Prove the path as separate processes: death, shutdown, pause, outage under load

Cause: the path had been run in one process only. Change: process tests build the command, start platform, workers, backend servers and six entry instances in three failure domains, and kill, stop, pause and cut under load; callers go to another instance with the same key when a connection breaks. The caller's key reaches backend servers as Request-Key, so that their own records show how often a key ran.

--- /dev/null
+++ b/cmd/daisyrack/path_test.go
@@ -0,0 +1,99 @@
+package main_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/sched"
+)
+
+// Guards the whole path as separate processes: documents, requests and jobs are
+// served, and the death of an entry instance leaves no request without outcome.
+func TestWholePathSurvivesTheDeathOfAnEntryInstance(t *testing.T) {
+	s := newSite(t, 2)
+	until("owners", t, func() bool { return len(s.owners(s.entries[0])) == 3 })
+	s.publishExamples()
+	stop := s.load()
+	out, status := s.command("submit", "--entry", s.entries[2].url(), s.file("sums", map[string]any{
+		"kind": "batch", "name": "sums", "user": "example", "tasks": 6, "run_seconds": 1,
+		"resources": map[string]int{"cpu_millis": 500, "memory_mb": 100},
+	}))
+	assert.Equal(t, status, 0, out)
+	until("jobs finished", t, func() bool {
+		return s.jobState(s.entries[0], "sums") == sched.JobFinished && s.jobState(s.entries[0], "blend") == sched.JobFinished
+	})
+	victim := s.owners(s.entries[0])["b"]
+	for _, e := range s.entries {
+		if e.name == victim {
+			e.signal(syscall.SIGKILL)
+		}
+	}
+	took := until("takeover", t, func() bool {
+		owner := s.owners(s.entries[0])["b"]
+		return owner != "" && owner != victim
+	})
+	t.Logf("takeover after %s", took)
+	s.judge(stop())
+}
+
+// Guards against a graceful shutdown that cuts off requests in progress or
+// keeps the failure domain without an owner.
+func TestGracefulShutdownCutsOffNothing(t *testing.T) {
+	s := newSite(t, 2)
+	until("owners", t, func() bool { return len(s.owners(s.entries[0])) == 3 })
+	s.publishExamples()
+	stop := s.load()
+	time.Sleep(time.Second)
+	victim := s.owners(s.entries[0])["c"]
+	for _, e := range s.entries {
+		if e.name == victim {
+			e.signal(syscall.SIGTERM)
+			<-e.ended
+			assert.Equal(t, e.cmd.ProcessState.ExitCode(), 0, e.log.String())
+		}
+	}
+	took := until("handover", t, func() bool { return s.owners(s.entries[0])["c"] != "" && s.owners(s.entries[0])["c"] != victim })
+	t.Logf("handover after %s", took)
+	l := stop()
+	s.judge(l)
+	assert.Equal(t, l.Unknown.Load(), int64(0))
+	assert.Equal(t, l.Failed.Load(), int64(0))
+}
+
+// Guards against doubled or lost work when owners are killed and paused past
+// their lease and the platform is down for a while, all under load.
+func TestFaultsUnderLoad(t *testing.T) {
+	s := newSite(t, 2)
+	until("owners", t, func() bool { return len(s.owners(s.entries[0])) == 3 })
+	s.publishExamples()
+	stop := s.load()
+	byName := map[string]*process{}
+	for _, e := range s.entries {
+		byName[e.name] = e
+	}
+	owners := s.owners(s.entries[0])
+	paused := byName[owners["a"]]
+	watcher := s.entries[0]
+	if watcher == paused {
+		watcher = s.entries[1]
+	}
+	paused.signal(syscall.SIGSTOP)
+	t.Logf("takeover from a paused owner after %s", until("takeover", t, func() bool {
+		owner := s.owners(watcher)["a"]
+		return owner != "" && owner != paused.name
+	}))
+	paused.signal(syscall.SIGCONT)
+	s.faults(s.platform, `{"down":true}`)
+	time.Sleep(8 * time.Second)
+	s.faults(s.platform, `{}`)
+	byName[owners["b"]].signal(syscall.SIGKILL)
+	until("all owned again", t, func() bool {
+		now := s.owners(watcher)
+		return len(now) == 3 && now["b"] != owners["b"]
+	})
+	until("batch finished", t, func() bool { return s.jobState(watcher, "trials") == sched.JobFinished })
+	s.judge(stop())
+}
--- a/internal/back/server.go
+++ b/internal/back/server.go
@@ -17,7 +17,7 @@
 	RequestIDHeader      = "Request-Id"
 	DeadlineHeader       = "Request-Deadline-Ms"
 	ClassHeader          = "Request-Class"
-	IdempotencyKeyHeader = "Idempotency-Key"
+	IdempotencyKeyHeader = "Request-Key"
 	RunStateHeader       = "Run-State"
 	ServerStateHeader    = "Server-State"
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -116,11 +116,20 @@
 		Body:          body,
 		ContentType:   c.ContentType(),
 		NonIdempotent: nonIdempotent,
+		Key:           keyIf(nonIdempotent, k.key),
 		Deadline:      now.Add(deadline),
 	}, class, now)
 	return k, nil
 }
 
+// keyIf passes a key on only where it names the one run of a request.
+func keyIf(nonIdempotent bool, key string) string {
+	if nonIdempotent {
+		return key
+	}
+	return ""
+}
+
 func classOf(text string, rt config.Route) (queue.Class, string) {
 	if text == "" {
 		text = rt.Class
--- a/internal/rack/load.go
+++ b/internal/rack/load.go
@@ -30,6 +30,9 @@
 	Failed   atomic.Int64
 	Unknown  atomic.Int64
 
+	// Retried counts broken connections after which a request went elsewhere.
+	Retried atomic.Int64
+
 	// Broken counts requests without an outcome, Mixed answers that belong to
 	// another request.
 	Broken atomic.Int64
@@ -74,34 +77,46 @@
 func (l *Load) send(n int) {
 	route := routes[n%len(routes)]
 	key := fmt.Sprintf("key-%d", n)
-	l.sendTo(l.URLs[n%len(l.URLs)], route, key)
+	l.sendFrom(n, route, key)
 	if route == "reorder" && n%10 == 1 {
-		l.sendTo(l.URLs[(n+1)%len(l.URLs)], route, key)
+		l.sendFrom(n+1, route, key)
+	}
+}
+
+// sendFrom sends one request. When the connection breaks, the same request with
+// the same key goes to the next instance, as through a balancer.
+func (l *Load) sendFrom(n int, route, key string) {
+	l.Sent.Add(1)
+	for try := range l.URLs {
+		if l.sendTo(l.URLs[(n+try)%len(l.URLs)], route, key) {
+			return
+		}
+		l.Retried.Add(1)
 	}
+	l.Broken.Add(1)
 }
 
-func (l *Load) sendTo(url, route, key string) {
+// sendTo tells whether the request got an outcome.
+func (l *Load) sendTo(url, route, key string) bool {
 	req, err := http.NewRequest(http.MethodPost, url+"/v1/requests/"+route, bytes.NewReader([]byte(key)))
 	if err != nil {
-		return
+		return false
 	}
 	req.Header.Set(front.HeaderUser, "example")
 	req.Header.Set(front.HeaderKey, key)
 	// The caller's own library must not repeat the request by itself.
 	req.GetBody = nil
-	l.Sent.Add(1)
 	res, err := l.Client.Do(req)
 	if err != nil {
-		l.Broken.Add(1)
-		return
+		return false
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
-		l.Broken.Add(1)
-		return
+		return false
 	}
 	l.judge(res.Header.Get(front.HeaderOutcome), key, body)
+	return true
 }
 
 func (l *Load) judge(outcome, key string, body []byte) {
--- a/pkg/route/attempt.go
+++ b/pkg/route/attempt.go
@@ -22,6 +22,9 @@
 	headerDeadline = "Request-Deadline-Ms"
 	headerClass    = "Request-Class"
 	headerTeam     = "Request-Team"
+	// headerKey carries the caller's key. It is not called Idempotency-Key, since
+	// net/http repeats requests with that header by itself.
+	headerKey      = "Request-Key"
 	headerRunState = "Run-State"
 	headerState    = "Server-State"
 
@@ -146,6 +149,7 @@
 	}
 	setIfAny(header, headerClass, q.Class)
 	setIfAny(header, headerTeam, q.Team)
+	setIfAny(header, headerKey, q.Key)
 	setIfAny(header, "Content-Type", q.ContentType)
 	req := &http.Request{
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: header,
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -5,10 +5,12 @@
 // Request is one request to forward.
 type Request struct {
 	ID, Route, Class, Team string
-	Body                   []byte
-	ContentType            string
-	NonIdempotent          bool
-	Deadline               time.Time
+	// Key is the caller's own name of the request; it is passed on and not interpreted.
+	Key           string
+	Body          []byte
+	ContentType   string
+	NonIdempotent bool
+	Deadline      time.Time
 }
 
 // Outcome says what is known of a request.
