--- a/pkg/place/cell.go
+++ b/pkg/place/cell.go
@@ -111,7 +111,7 @@
 	workers int32
 }
 
-func (c *Cell) init() {
+func (c *Cell) prepare() {
 	if c.byName != nil {
 		return
 	}
@@ -123,7 +123,7 @@
 
 // SetWorker adds a worker, or updates the capacity and rack of a known one and keeps its tasks.
 func (c *Cell) SetWorker(w Worker) {
-	c.init()
+	c.prepare()
 	w.Capacity = w.Capacity.positive()
 	c.fails.clear()
 	i, known := c.byName[w.Name]
--- a/pkg/usage/bench_test.go
+++ b/pkg/usage/bench_test.go
@@ -34,6 +34,11 @@
 			book.Size(names[i%len(names)], usage.Amount{})
 		}
 	})
+	b.Run("clone", func(b *testing.B) {
+		for range b.N {
+			book.Clone()
+		}
+	})
 	b.Run("snapshot", func(b *testing.B) {
 		for range b.N {
 			b.ReportMetric(float64(len(book.Snapshot())), "bytes")
--- a/pkg/usage/snapshot.go
+++ b/pkg/usage/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"encoding/json"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,10 +35,31 @@
 	PeakAt   time.Time      `json:"peak_at"`
 }
 
-// savedHistogram has the slots with a weight; weights are relative to the newest value.
+// savedHistogram has the weights from the first to the last slot that has one, in
+// millionths of the total; the total is relative to the weight of the newest value.
 type savedHistogram struct {
-	Slots   []int     `json:"slots,omitempty"`
-	Weights []float32 `json:"weights,omitempty"`
+	First   int     `json:"first"`
+	Total   float64 `json:"total"`
+	Weights []int32 `json:"weights,omitempty"`
+}
+
+// millionths is the resolution of saved weights; smaller ones are dropped.
+const millionths = 1e6
+
+// Clone returns an independent copy, which another goroutine may turn into a Snapshot: that
+// takes about ten times as long.
+func (b *Book) Clone() *Book {
+	out := *b
+	out.jobs = make(map[string]*list.Element, len(b.jobs))
+	out.order = list.List{}
+	for el := b.order.Front(); el != nil; el = el.Next() {
+		e := *el.Value.(*entry)
+		for _, h := range []*histogram{&e.cpu, &e.mem, &e.run} {
+			h.weights = slices.Clone(h.weights)
+		}
+		out.jobs[e.job] = out.order.PushBack(&e)
+	}
+	return &out
 }
 
 // Snapshot returns everything learned as JSON, the most recently used job first.
@@ -101,30 +124,41 @@
 }
 
 func (h *histogram) save() savedHistogram {
-	var out savedHistogram
+	if h.total <= 0 {
+		return savedHistogram{}
+	}
+	out := savedHistogram{Total: h.total / h.scale, Weights: make([]int32, 0, slots)}
+	last := 0
 	for i, w := range h.weights {
-		if w > 0 {
-			out.Slots = append(out.Slots, i)
-			out.Weights = append(out.Weights, float32(float64(w)/h.scale))
+		share := int32(math.Round(float64(w) / h.total * millionths))
+		if share == 0 && len(out.Weights) == 0 {
+			out.First = i + 1
+			continue
+		}
+		out.Weights = append(out.Weights, share)
+		if share > 0 {
+			last = len(out.Weights)
 		}
 	}
+	out.Weights = out.Weights[:last]
 	return out
 }
 
 func (h *histogram) load(s savedHistogram) bool {
-	if len(s.Slots) != len(s.Weights) {
+	if s.First < 0 || s.First > slots || len(s.Weights) > slots-s.First || !(s.Total >= 0) {
 		return false
 	}
-	for i, slot := range s.Slots {
-		if slot < 0 || slot >= slots || !(s.Weights[i] >= 0) {
+	if len(s.Weights) == 0 {
+		return true
+	}
+	h.weights = make([]float32, slots)
+	h.scale = 1
+	for i, share := range s.Weights {
+		if share < 0 {
 			return false
 		}
-		if h.weights == nil {
-			h.weights = make([]float32, slots)
-			h.scale = 1
-		}
-		h.weights[slot] = s.Weights[i]
-		h.total += float64(s.Weights[i])
+		h.weights[s.First+i] = float32(float64(share) / millionths * s.Total)
 	}
+	h.total = s.Total
 	return true
 }
