place: report states in JSON, look up workers and tasks

Cause: status needs the capacity report and the state of a worker in the project's snake_case; the owner needs a placed task back by its id. Conclusion: no policy change.

--- a/pkg/place/packing_test.go
+++ b/pkg/place/packing_test.go
@@ -39,10 +39,6 @@
 	return packer{"cell", c.SetWorker, func(t place.Task) bool { return c.Place(epoch, t).Worker != "" }, c.Release}
 }
 
-func basePacker(name string, f *base.Fleet) packer {
-	return packer{name, f.SetWorker, func(t place.Task) bool { return f.Place(t) != "" }, f.Release}
-}
-
 // havenScore is HAVEN's sum of squared utilisations with equal weights, lower is better.
 func havenScore(left, _, capacity place.Resources) float64 {
 	square := func(left, whole int64) float64 {
@@ -68,15 +64,15 @@
 // packers returns a new packer for each rule; seed is for the random one.
 func packers(seed uint64) []packer {
 	fleets := []packer{cellPacker()}
-	for r := base.FirstFit; r < base.Scored; r++ {
-		fleets = append(fleets, basePacker(r.String(), &base.Fleet{Rule: r, Rand: rand.New(rand.NewPCG(seed, 1))}))
+	add := func(name string, f base.Fleet) {
+		fleets = append(fleets, packer{name, f.SetWorker, func(t place.Task) bool { return f.Place(t) != "" }, f.Release})
 	}
-	scored := func(name string, f func(left, need, capacity place.Resources) float64) {
-		fleets = append(fleets, basePacker(name, &base.Fleet{Rule: base.Scored, Score: f}))
+	for r := base.FirstFit; r < base.Scored; r++ {
+		add(r.String(), base.Fleet{Rule: r, Rand: rand.New(rand.NewPCG(seed, 1))})
 	}
-	scored("haven", havenScore)
+	add("haven", base.Fleet{Rule: base.Scored, Score: havenScore})
 	for _, w := range []float64{0, 0.5, 1} {
-		scored(fmt.Sprintf("stranding %.2f", w), strandingScore(w))
+		add(fmt.Sprintf("stranding %.2f", w), base.Fleet{Rule: base.Scored, Score: strandingScore(w)})
 	}
 	return fleets
 }
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -218,6 +219,13 @@
 	assert.Equal(t, rep.Sum.Reasons[place.Cordoned].Amount, host)
 	assert.Equal(t, rep.Sum.Reasons[place.NoCPU].Amount.MemoryMB, int64(48*1024+48*1024-19_660))
 	assert.Equal(t, rep.Racks[0].Stranded, rep.Sum.Stranded)
+	out, err := json.Marshal(rep.Sum.Reasons[place.NoMemory])
+	assert.NilError(t, err)
+	assert.Equal(t, string(out), `{"cause":"stranded: memory of the worker is used up","amount":{"cpu_millis":0,"memory_mb":0,"accelerators":0}}`)
+	w, _ := c.WorkerState("w0001")
+	assert.DeepEqual(t, w.Tasks, []string{"b"})
+	b, worker, _ := c.Task("b")
+	assert.Assert(t, b.Need == w.Granted && worker == w.Name)
 }
 
 // Guards against actions out of order and against stopping more than the overload needs.
--- a/pkg/place/report.go
+++ b/pkg/place/report.go
@@ -38,39 +38,44 @@
 	return causeNames[c]
 }
 
+// MarshalText returns the phrase, for reports in JSON.
+func (c Cause) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
 // Idle is an amount of idle capacity with its cause.
 type Idle struct {
-	Cause  Cause
-	Amount Resources
+	Cause  Cause     `json:"cause"`
+	Amount Resources `json:"amount"`
 }
 
 // Usable is the state of the capacity of one rack or of the whole cell.
 type Usable struct {
 	// Rack is empty in the sum.
-	Rack string
+	Rack string `json:"rack,omitempty"`
 
-	Workers  int
-	Cordoned int
+	Workers  int `json:"workers"`
+	Cordoned int `json:"cordoned"`
 	// Over is the number of workers whose grants exceed their capacity.
-	Over int
+	Over int `json:"over"`
 
-	Total   Resources
-	Granted Resources
+	Total   Resources `json:"total"`
+	Granted Resources `json:"granted"`
 	// Idle is what is not granted; Idle of workers that are over their capacity counts as 0.
-	Idle Resources
+	Idle Resources `json:"idle"`
 	// Stranded is the part of Idle that no task of the usual shape can use.
-	Stranded Resources
+	Stranded Resources `json:"stranded"`
 	// Reasons splits Idle by cause; the amounts add up to Idle.
-	Reasons []Idle
+	Reasons []Idle `json:"reasons"`
 }
 
 // Report is the answer of Capacity.
 type Report struct {
-	Sum Usable
+	Sum Usable `json:"sum"`
 	// Racks is sorted by name.
-	Racks []Usable
+	Racks []Usable `json:"racks"`
 	// Shape is the mean need of the running tasks, by which stranded capacity is judged.
-	Shape Resources
+	Shape Resources `json:"shape"`
 }
 
 // Capacity reports what is granted and idle, and why hardware is idle. Idle capacity of a
@@ -101,6 +106,44 @@
 	return rep
 }
 
+// WorkerState is the state of one worker.
+type WorkerState struct {
+	Worker
+	Cordoned bool      `json:"cordoned"`
+	Granted  Resources `json:"granted"`
+	// Held is what the reservation holds at its start, on top of Granted.
+	Held Resources `json:"held"`
+	// Tasks has the ids of the running tasks, sorted.
+	Tasks []string `json:"tasks"`
+}
+
+// WorkerState returns the state of a worker and whether the worker is known.
+func (c *Cell) WorkerState(name string) (WorkerState, bool) {
+	i, ok := c.byName[name]
+	if !ok {
+		return WorkerState{}, false
+	}
+	w := &c.workers[i]
+	out := WorkerState{
+		Worker:   Worker{Name: name, Rack: c.racks[w.rack].name, Capacity: w.capacity},
+		Cordoned: w.cordoned, Granted: w.capacity.Sub(w.free), Held: w.held,
+	}
+	for t := w.first; t != none; t = c.tasks[t].next {
+		out.Tasks = append(out.Tasks, c.tasks[t].ID)
+	}
+	slices.Sort(out.Tasks)
+	return out, true
+}
+
+// Task returns a running task as it was placed, adopted and resized, and its worker.
+func (c *Cell) Task(id string) (t Task, worker string, ok bool) {
+	i, ok := c.byID[id]
+	if !ok {
+		return Task{}, "", false
+	}
+	return c.tasks[i].Task, c.workers[c.tasks[i].worker].name, true
+}
+
 func newUsable(name string) *Usable {
 	u := &Usable{Rack: name, Reasons: make([]Idle, causes)}
 	for i := range u.Reasons {
--- a/pkg/place/reserve_test.go
+++ b/pkg/place/reserve_test.go
@@ -92,7 +92,9 @@
 			s.start(t, s.m.task(t))
 			s.cell.Resize("t"+strconv.Itoa(rapid.IntRange(1, 30).Draw(t, "id")), genNeed.Draw(t, "size"))
 			if rapid.IntRange(0, 4).Draw(t, "again") == 0 {
-				bound = earlier(bound, s.cell.Reserve(s.now, "wide", wide).Start)
+				if next := s.cell.Reserve(s.now, "wide", wide).Start; next.Before(bound) {
+					bound = next
+				}
 			}
 		}
 		s.advance(bound)
@@ -139,13 +141,6 @@
 	assert.Assert(t, c.PlaceAll(r.Start, wide).Placed())
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Guards against two all-at-once jobs that each wait for what the other one holds.
 func TestTwoAllAtOnceJobsNeverBlockEachOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/place/resources.go
+++ b/pkg/place/resources.go
@@ -3,11 +3,11 @@
 // Resources is an amount of what a worker offers and a task needs.
 type Resources struct {
 	// CPUMillis is processor time in thousandths of a core.
-	CPUMillis int64
+	CPUMillis int64 `json:"cpu_millis"`
 	// MemoryMB is memory in units of 2^20 bytes.
-	MemoryMB int64
+	MemoryMB int64 `json:"memory_mb"`
 	// Accelerators is a number of whole accelerators.
-	Accelerators int64
+	Accelerators int64 `json:"accelerators"`
 }
 
 // Add returns r plus o.
--- a/pkg/place/task.go
+++ b/pkg/place/task.go
@@ -28,6 +28,17 @@
 	return classNames[c]
 }
 
+// MarshalText returns the name used in documents.
+func (c Class) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
+// UnmarshalText sets the value from a name; names that ParseClass refuses are an error.
+func (c *Class) UnmarshalText(text []byte) (err error) {
+	*c, err = ParseClass(string(text))
+	return err
+}
+
 // ParseClass is the inverse of String; other names are an error.
 func ParseClass(name string) (Class, error) {
 	for i, n := range classNames {
@@ -60,6 +71,17 @@
 	return kindNames[k]
 }
 
+// MarshalText returns the name used in documents.
+func (k Kind) MarshalText() ([]byte, error) {
+	return []byte(k.String()), nil
+}
+
+// UnmarshalText sets the value from a name; names that ParseKind refuses are an error.
+func (k *Kind) UnmarshalText(text []byte) (err error) {
+	*k, err = ParseKind(string(text))
+	return err
+}
+
 // ParseKind is the inverse of String; other names are an error.
 func ParseKind(name string) (Kind, error) {
 	for i, n := range kindNames {
@@ -72,9 +94,9 @@
 
 // Worker is an instance that runs tasks.
 type Worker struct {
-	Name     string
-	Rack     string
-	Capacity Resources
+	Name     string    `json:"name"`
+	Rack     string    `json:"rack"`
+	Capacity Resources `json:"capacity"`
 }
 
 // Task is one unit of work that runs on one worker.
--- a/pkg/usage/property_test.go
+++ b/pkg/usage/property_test.go
@@ -142,3 +142,33 @@
 		}
 	}
 }
+
+// BenchmarkBook measures reports, estimates and snapshots of 4,096 jobs.
+func BenchmarkBook(b *testing.B) {
+	var book usage.Book
+	names := make([]string, 4096)
+	for i := range names {
+		names[i] = "job" + strconv.Itoa(i)
+	}
+	observe := func(i int) {
+		used := usage.Amount{CPUMillis: int64(100 + i%977), MemoryMB: int64(100 + i%1009)}
+		book.Observe(names[i%len(names)], used, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	for i := range 100 * len(names) {
+		observe(i)
+	}
+	for name, call := range map[string]func(i int){
+		"observe":  observe,
+		"size":     func(i int) { book.Size(names[i%len(names)], usage.Amount{}) },
+		"clone":    func(int) { book.Clone() },
+		"snapshot": func(int) { book.Snapshot() },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				call(i)
+			}
+		})
+	}
+	b.Logf("snapshot of %d bytes", len(book.Snapshot()))
+}
