place: count the lost work of an all-at-once job once

Cause: a worker that held several tasks of one job was rated with the job's lost work several times, so Preempt could stop more work elsewhere. Change: the work of a job is summed once per call and counted once per worker. Measured: the new case of TestPreemptStopsTheLeastValuableTask fails before (stops 0004) and passes after. Conclusion: least lost work holds for all-at-once jobs too.

--- a/pkg/place/cell.go
+++ b/pkg/place/cell.go
@@ -55,6 +55,8 @@
 	res   *reservation
 	fails failures
 
+	// preempts counts the calls of Preempt.
+	preempts uint64
 	// victimBuf has the scratch lists of Preempt.
 	victimBuf [2][]victim
 
@@ -104,6 +106,9 @@
 	first   int32
 	count   int32
 	perRack []int32
+	// lost is the work lost by stopping the job, computed in the call lostIn of Preempt.
+	lost   float64
+	lostIn uint64
 }
 
 type rack struct {
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -116,7 +116,14 @@
 		"none that is not needed":    {[]running{{place.Deferrable, b, 50, 2}, {place.Deferrable, b, 0, 14}}, []string{"0001"}},
 		"services last":              {[]running{{place.Deferrable, svc, 50, 10}, {place.Normal, b, 0, 10}}, []string{"0001"}},
 		"whole all-at-once job":      {[]running{{place.Deferrable, gang, 50, 10}, {place.Deferrable, gang, 50, 10}}, []string{"0000", "0001"}},
-		"never urgent":               {[]running{{place.Urgent, b, 0, 10}, {place.Urgent, svc, 0, 10}}, nil},
+		"an all-at-once job counts once": {[]running{
+			{place.Deferrable, gang, 50, 4},
+			{place.Deferrable, gang, 50, 4},
+			{place.Deferrable, gang, 50, 4},
+			{place.Deferrable, gang, 50, 4},
+			{place.Deferrable, gang, 45, 16},
+		}, []string{"0000", "0001", "0002", "0003"}},
+		"never urgent": {[]running{{place.Urgent, b, 0, 10}, {place.Urgent, svc, 0, 10}}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := cellOf(1, host)
@@ -127,7 +134,7 @@
 					c.SetWorker(place.Worker{Name: "w" + digits(n), Capacity: host})
 				}
 				task := batch(digits(i), r.cores, 1)
-				task.Job, task.Class, task.Kind, task.Started = "j", r.class, r.kind, epoch
+				task.Job, task.Class, task.Kind, task.Started = "j"+digits(int(r.cores)), r.class, r.kind, epoch
 				assert.NilError(t, c.Adopt(task, "w"+digits(n)))
 				assert.Assert(t, c.Checkpoint(task.ID, epoch.Add(r.saved*time.Second)))
 			}
--- a/pkg/place/preempt.go
+++ b/pkg/place/preempt.go
@@ -8,6 +8,8 @@
 // victim is a running task that could be stopped, with what stopping it loses.
 type victim struct {
 	task int32
+	// job is set for a task that stops its whole job; lost is then that of the job.
+	job  int32
 	tier int
 	lost float64
 }
@@ -44,6 +46,7 @@
 		return "", nil, false
 	}
 	q := clearing{need: t.Need, lasts: c.res != nil && !c.res.mayBackfill(now, &t)}
+	c.preempts++
 	best, spare := c.victimBuf[0][:0], c.victimBuf[1][:0]
 	at := none
 	for i := range c.workers {
@@ -103,7 +106,7 @@
 	q.held, q.free, q.after, q.reserved = w.held, w.free, w.after, w.reserved
 	for i := w.first; i != none; i = c.tasks[i].next {
 		if tier := tierOf(&c.tasks[i].Task); tier < tiers {
-			set = append(set, victim{i, tier, c.lost(now, i)})
+			set = append(set, c.victim(now, i, tier))
 		}
 	}
 	c.sortVictims(set)
@@ -151,18 +154,21 @@
 	return set
 }
 
-// lost is the work lost by stopping a task: seconds since its last checkpoint, or its
-// start, times its size; for an all-at-once task that of its whole job.
-func (c *Cell) lost(now time.Time, i int32) float64 {
+// victim rates the stopping of a task: the lost work is the seconds since its last
+// checkpoint, or its start, times its size; for an all-at-once task that of its whole job.
+func (c *Cell) victim(now time.Time, i int32, tier int) victim {
 	t := &c.tasks[i]
-	if t.Kind != AllAtOnce || t.job == none {
-		return c.lostOne(now, t)
-	}
-	sum := 0.0
-	for k := c.jobs[t.job].first; k != none; k = c.tasks[k].jobNext {
-		sum += c.lostOne(now, &c.tasks[k])
+	if t.Kind != AllAtOnce {
+		return victim{i, none, tier, c.lostOne(now, t)}
+	}
+	jb := &c.jobs[t.job]
+	if jb.lostIn != c.preempts {
+		jb.lostIn, jb.lost = c.preempts, 0
+		for k := jb.first; k != none; k = c.tasks[k].jobNext {
+			jb.lost += c.lostOne(now, &c.tasks[k])
+		}
 	}
-	return sum
+	return victim{i, t.job, tier, jb.lost}
 }
 
 func (c *Cell) lostOne(now time.Time, t *task) float64 {
@@ -180,11 +186,14 @@
 	return ta < tb || ta == tb && la < lb
 }
 
+// costOf returns the highest tier and the lost work; a job that stops counts once.
 func costOf(set []victim) (tier int, lost float64) {
 	tier = -1
-	for _, v := range set {
+	for i, v := range set {
 		tier = max(tier, v.tier)
-		lost += v.lost
+		if v.job == none || !slices.ContainsFunc(set[:i], func(o victim) bool { return o.job == v.job }) {
+			lost += v.lost
+		}
 	}
 	return tier, lost
 }
