--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -1,5 +1,11 @@
 package event
 
+import "strings"
+
+// MaxText is the greatest length of a text of an Event in bytes. It bounds the
+// memory of a ring in bytes and not only in events.
+const MaxText = 512
+
 // Kind names what happened.
 type Kind = string
 
@@ -60,6 +66,15 @@
 	DurationUS int64  `json:"duration_us,omitempty"`
 }
 
+// cut shortens texts that are too long, in memory of their own.
+func (e *Event) cut() {
+	for _, text := range []*string{&e.Instance, &e.Kind, &e.Request, &e.Job, &e.Task, &e.Worker, &e.Backend, &e.Detail} {
+		if len(*text) > MaxText {
+			*text = strings.ToValidUTF8(strings.Clone((*text)[:MaxText]), "")
+		}
+	}
+}
+
 // Filter selects events; empty fields match all.
 type Filter struct {
 	Job      string
--- a/pkg/event/mirror.go
+++ b/pkg/event/mirror.go
@@ -5,14 +5,15 @@
 	"sync"
 )
 
-const defaultInstances = 64
+// defaultInstances rings of DefaultSize take 20 MB without their texts.
+const defaultInstances = 16
 
 // Mirror keeps copies of the events of other instances, so that the time line of
 // an instance that died can still be read; set the fields before the first call.
 type Mirror struct {
 	// Size is the number of events kept for each instance; 0 means DefaultSize.
 	Size int
-	// Instances is the number of instances kept; 0 means 64. The one that was heard
+	// Instances is the number of instances kept; 0 means 16. The one that was heard
 	// least recently makes room for a new one.
 	Instances int
 
@@ -53,11 +54,12 @@
 		return false
 	}
 	t.last = *e
+	t.last.cut()
 	if len(t.events) < m.size() {
-		t.events = append(t.events, *e)
+		t.events = append(t.events, t.last)
 		return true
 	}
-	t.events[t.oldest] = *e
+	t.events[t.oldest] = t.last
 	t.oldest = (t.oldest + 1) % len(t.events)
 	m.dropped++
 	return true
--- a/pkg/event/ring.go
+++ b/pkg/event/ring.go
@@ -2,8 +2,12 @@
 
 import "sync"
 
-// DefaultSize is the number of events that a Ring keeps when Size is 0.
-const DefaultSize = 8_192
+const (
+	// DefaultSize is the number of events that a Ring keeps when Size is 0.
+	DefaultSize = 8_192
+	// chunk is the number of events copied under one hold of the lock.
+	chunk = 256
+)
 
 // Ring keeps the newest events of one instance; set the fields before the first call.
 type Ring struct {
@@ -21,7 +25,9 @@
 
 // Add records an event under the next sequence number and returns it as recorded.
 // The oldest event is overwritten when the ring is full.
+// Texts longer than MaxText bytes are cut.
 func (r *Ring) Add(e Event) Event {
+	e.cut()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.init()
@@ -41,20 +47,46 @@
 // After returns at most limit events with sequence numbers above the given one,
 // oldest first; a limit of 0 or less means all.
 func (r *Ring) After(sequence uint64, limit int) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.init()
-	first := max(sequence, r.overwritten()) + 1
-	if first > r.next {
-		return nil
-	}
-	n := int(r.next - first + 1)
+	n := r.count(sequence)
 	if limit > 0 {
 		n = min(n, limit)
 	}
+	if n == 0 {
+		return nil
+	}
+	// Events are copied in chunks into memory allocated before, so that Add never waits for long.
 	events := make([]Event, 0, n)
-	for i := range n {
-		events = append(events, *r.at(first + uint64(i)))
+	for len(events) < n {
+		before := len(events)
+		events = r.copyChunk(events, sequence, min(n-before, chunk))
+		if len(events) == before {
+			break
+		}
+		sequence = events[len(events)-1].Sequence
+	}
+	return events
+}
+
+// count returns the number of events kept above a sequence number.
+func (r *Ring) count(sequence uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init()
+	first := max(sequence, r.overwritten())
+	if first >= r.next {
+		return 0
+	}
+	return int(r.next - first)
+}
+
+// copyChunk appends up to n events above a sequence number.
+func (r *Ring) copyChunk(events []Event, sequence uint64, n int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := max(sequence, r.overwritten()) + 1
+	for s := first; s <= r.next && n > 0; s++ {
+		events = append(events, *r.at(s))
+		n--
 	}
 	return events
 }
--- a/pkg/queue/class.go
+++ b/pkg/queue/class.go
@@ -24,6 +24,8 @@
 	running int64
 	// weights is the sum of the weights of the teams with waiting items.
 	weights float64
+	// active is the same for teams with waiting or running items.
+	active float64
 
 	// credit is the service the class is owed, in cost x seconds: it grows by the
 	// guaranteed share of all service and falls by the class's own.
@@ -31,6 +33,11 @@
 	prepaid float64
 	rate    int64
 
+	// clock is the service that a team of weight 1 is guaranteed while it is active.
+	clock float64
+	// owed is set while Next chooses.
+	owed bool
+
 	// served is the weighted service of the node served last.
 	served float64
 
@@ -105,8 +112,8 @@
 
 // before reports whether c is served before o.
 func (c *class) before(o *class, now time.Time, step time.Duration) bool {
-	if owed, other := c.credit > 0, o.credit > 0; owed != other {
-		return owed
+	if c.owed != o.owed {
+		return c.owed
 	}
 	if rank, other := c.rank(now, step), o.rank(now, step); rank != other {
 		return rank < other
@@ -116,7 +123,7 @@
 
 // charge adds the service of one class to the accounts of all; a negative amount
 // is a refund. Credit beyond the burst of an idle class is service that nobody
-// claims: it was lent, so it repays debts and leaves none for later.
+// claims, and is lent.
 func (q *Queue) charge(by *class, amount float64) {
 	unclaimed := amount
 	by.credit -= amount
@@ -124,21 +131,36 @@
 		c := &q.classes[i]
 		c.credit += c.limits.Share * amount
 		unclaimed -= c.limits.Share * amount
-		if c.heaps[byService].top() == nil {
+		if c.active > 0 {
+			c.clock += c.limits.Share * amount / c.active
+		}
+		if !c.waits() {
 			over := max(c.credit-c.burst(), 0)
 			c.credit -= over
 			unclaimed += over
 		}
 	}
-	unclaimed = by.repay(unclaimed)
+	if unclaimed > 0 {
+		q.lend(unclaimed)
+	}
+}
+
+// lend gives service that nobody claims to the classes in order: each one's debt
+// is repaid, and the first that waits takes the rest.
+func (q *Queue) lend(amount float64) {
 	for i := range q.classes {
-		unclaimed = q.classes[i].repay(unclaimed)
+		c := &q.classes[i]
+		if c.waits() {
+			c.credit += amount
+			return
+		}
+		paid := max(min(amount, -c.credit), 0)
+		c.credit += paid
+		amount -= paid
 	}
 }
 
-// repay lowers the debt of the class and returns what is left of amount.
-func (c *class) repay(amount float64) float64 {
-	paid := max(min(amount, -c.credit), 0)
-	c.credit += paid
-	return amount - paid
+// waits reports whether the class has an item that may run.
+func (c *class) waits() bool {
+	return c.heaps[byService].top() != nil
 }
--- a/pkg/queue/flood_test.go
+++ b/pkg/queue/flood_test.go
@@ -148,7 +148,7 @@
 	var lists [queue.Classes][]queue.Item
 	waiting := 0
 	return policy{
-		push: func(now time.Time, it queue.Item) bool {
+		push: func(_ time.Time, it queue.Item) bool {
 			if waiting == bound {
 				return false
 			}
@@ -336,3 +336,73 @@
 		}
 	}
 }
+
+// Guards against shares that nobody claims being lent to the wrong class: the most urgent one takes them.
+func TestUnclaimedSharesAreLentInClassOrder(t *testing.T) {
+	cases := []struct {
+		claim [queue.Classes]bool
+		want  [queue.Classes]float64
+	}{
+		{[queue.Classes]bool{true, false, true}, [queue.Classes]float64{0.8, 0, 0.2}},
+		{[queue.Classes]bool{true, true, false}, [queue.Classes]float64{0.7, 0.3, 0}},
+		{[queue.Classes]bool{false, true, true}, [queue.Classes]float64{0, 0.8, 0.2}},
+		{[queue.Classes]bool{false, false, true}, [queue.Classes]float64{0, 0, 1}},
+	}
+	for _, c := range cases {
+		var streams []stream
+		for class, claims := range c.claim {
+			if claims {
+				streams = append(streams, stream{"a", queue.Class(class), 2, 100 * time.Millisecond, time.Hour, 0, time.Hour})
+			}
+		}
+		from, to := 10*time.Second, 70*time.Second
+		outcomes := simulate(shares(queue.Limits{Sum: 1_000}, 0), 10, streams, from, to)
+		for i, o := range outcomes {
+			got := float64(o.served) / float64(10*(to-from))
+			want := c.want[streams[i].class]
+			assert.Assert(t, math.Abs(got-want) < 0.02, "%v: %v has %.3f of the service, not %.1f", c.claim, streams[i].class, got, want)
+		}
+	}
+}
+
+// Guards against service that a class borrowed while nobody else claimed it being held against it later.
+func TestLentServiceLeavesNoDebt(t *testing.T) {
+	run, later := 100*time.Millisecond, time.Minute
+	streams := []stream{
+		{"a", queue.Deferrable, 2, run, time.Hour, 0, time.Hour},
+		{"a", queue.Urgent, 2, run, time.Hour, later, time.Hour},
+		{"a", queue.Normal, 2, run, time.Hour, later, time.Hour},
+	}
+	outcomes := simulate(shares(queue.Limits{Sum: 1_000}, 0), 10, streams, later, later+20*time.Second)
+	for i, share := range []float64{0.2, 0.5, 0.3} {
+		got := float64(outcomes[i].served) / float64(10*20*time.Second)
+		assert.Assert(t, got > 0.95*share, "%v has %.3f of the service", streams[i].class, got)
+	}
+}
+
+// Guards against long work that was found running at takeover being left out of the shares.
+func TestRunningWorkCountsForTheShare(t *testing.T) {
+	q := &queue.Queue{}
+	for i := range 8 {
+		q.Restore(item(fmt.Sprint("running", i), "a", queue.Urgent))
+	}
+	served := [queue.Classes]int{}
+	var running []queue.Item
+	for round := range 200 {
+		now := start.Add(time.Duration(round) * 100 * time.Millisecond)
+		for _, it := range running {
+			q.Done(it.Team, it.Class, it.Cost)
+		}
+		running = nil
+		// Two of ten slots are free; urgent work already has more than its half.
+		for i := range 2 {
+			for class := range queue.Class(queue.Classes) {
+				q.Push(now, item(fmt.Sprint(class, round, i), "a", class))
+			}
+			it, _ := q.Next(now)
+			served[it.Class]++
+			running = append(running, it)
+		}
+	}
+	assert.Assert(t, served[queue.Urgent] < 40, "%v", served)
+}
--- a/pkg/queue/node.go
+++ b/pkg/queue/node.go
@@ -26,11 +26,16 @@
 	ready, deferred list
 	waiting         int
 	running         int64
+	// active is the weight counted in the class while items wait or run.
+	active float64
 
 	// service is the weighted service received, in cost x seconds / weight. It
 	// counts the expected service of an item when the item starts; prepaid is the
 	// part of it that has not been used yet.
 	service float64
+	// claimed counts the same service against the clock of the class: the team is
+	// owed service while it is behind.
+	claimed float64
 	prepaid float64
 	// rate is the running cost since last, in which service was not counted yet.
 	rate int64
@@ -58,7 +63,7 @@
 	n.rate = n.running
 	paid := min(used, n.prepaid)
 	n.prepaid -= paid
-	n.service += (used - paid) / n.team.limits.Weight
+	n.add(used - paid)
 	// A long use of idle capacity must not keep a team from its share later.
 	n.service = min(n.service, n.class.served+n.class.burst()/n.team.limits.Weight)
 }
@@ -67,7 +72,13 @@
 func (n *node) refund(cost, running int64) {
 	back := refundOf(n.prepaid, cost, running)
 	n.prepaid -= back
-	n.service -= back / n.team.limits.Weight
+	n.add(-back)
+}
+
+// add counts service, given in cost x seconds.
+func (n *node) add(amount float64) {
+	n.service += amount / n.team.limits.Weight
+	n.claimed += amount / n.team.limits.Weight
 }
 
 // refundOf returns the part of prepaid that belongs to cost out of running.
@@ -78,6 +89,16 @@
 	return prepaid * float64(cost) / float64(running)
 }
 
+// setActive counts the weight of the team in the class while it has items.
+func (n *node) setActive() {
+	weight := 0.0
+	if n.waiting > 0 || n.running > 0 {
+		weight = n.team.limits.Weight
+	}
+	n.class.active += weight - n.active
+	n.active = weight
+}
+
 // eligible reports whether the first ready item may run as far as the quota goes.
 func (n *node) eligible() bool {
 	front := n.ready.front
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -113,6 +113,7 @@
 	n.team.waiting += by
 	n.class.waiting += by
 	q.waiting += by
+	n.setActive()
 	q.setIdle(n.team)
 }
 
@@ -136,6 +137,8 @@
 	in := n.eligible()
 	if in && n.place[byService] < 0 {
 		n.service = max(n.service, n.class.served)
+		item := n.class.serviceTime() * n.class.meanCost() / n.team.limits.Weight
+		n.claimed = max(n.claimed, n.class.clock-item)
 	}
 	heaps[byService].update(n, in)
 	heaps[byAge].update(n, in)
@@ -183,28 +186,29 @@
 // lent past a class that is owed some and waits for headroom, or a flood of the
 // more urgent class would use up the headroom and keep it waiting for ever.
 func (q *Queue) choose(now time.Time) *class {
+	for i := range q.classes {
+		q.classes[i].setOwed(now)
+	}
 	var blocked [Classes]bool
+	held := false
 	for {
 		best := q.foremost(now, &blocked)
-		if best == nil || q.leavesHeadroom(best) {
-			return best
-		}
-		if best.credit > 0 && !q.owed(&blocked, best) {
+		if best == nil || held && !best.owed {
 			return nil
 		}
+		if q.leavesHeadroom(best) {
+			return best
+		}
 		blocked[best.kind] = true
+		held = held || best.owed
 	}
 }
 
-// owed reports whether a class other than best is owed service and may be served.
-func (q *Queue) owed(blocked *[Classes]bool, best *class) bool {
-	for i := range q.classes {
-		c := &q.classes[i]
-		if c != best && !blocked[i] && c.credit > 0 && c.heaps[byService].top() != nil {
-			return true
-		}
-	}
-	return false
+// setOwed finds out whether the class or the team that is next in it is behind its
+// guaranteed share. The team counts as well: a flood that borrowed for its class
+// must not keep the other teams of the class from their shares.
+func (c *class) setOwed(now time.Time) {
+	c.owed = c.waits() && (c.credit > 0 || c.first(now).claimed < c.clock)
 }
 
 // foremost returns the first of the classes that are not blocked.
@@ -212,7 +216,7 @@
 	var best *class
 	for i := range q.classes {
 		c := &q.classes[i]
-		if blocked[i] || c.heaps[byService].top() == nil {
+		if blocked[i] || !c.waits() {
 			continue
 		}
 		if best == nil || c.before(best, now, q.limits.AgeStep) {
@@ -258,7 +262,7 @@
 	c.served = max(c.served, n.service)
 	expected := c.serviceTime() * float64(cost)
 	n.prepaid += expected
-	n.service += expected / n.team.limits.Weight
+	n.add(expected)
 	c.prepaid += expected
 	q.run(n, cost)
 	n.rate = n.running
@@ -272,6 +276,7 @@
 	n.team.running += cost
 	n.team.counts[n.class.kind].Running++
 	q.counts[n.class.kind].Running++
+	n.setActive()
 	q.setIdle(n.team)
 }
 
@@ -303,6 +308,7 @@
 	t.running -= cost
 	t.counts[kind].Running--
 	q.counts[kind].Running--
+	n.setActive()
 	q.setIdle(t)
 	q.refreshTeam(t)
 }
--- a/pkg/queue/team.go
+++ b/pkg/queue/team.go
@@ -39,6 +39,11 @@
 			}
 		}
 		t.limits = limits
+		for _, n := range t.nodes {
+			if n != nil {
+				n.setActive()
+			}
+		}
 		q.refreshNodes(t)
 	}
 }
