--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -113,6 +113,7 @@
 	n.team.waiting += by
 	n.class.waiting += by
 	q.waiting += by
+	n.setActive()
 	q.setIdle(n.team)
 }
 
@@ -136,6 +137,7 @@
 	in := n.eligible()
 	if in && n.place[byService] < 0 {
 		n.service = max(n.service, n.class.served)
+		n.claimed = max(n.claimed, n.class.clock-n.class.itemService()/n.team.limits.Weight)
 	}
 	heaps[byService].update(n, in)
 	heaps[byAge].update(n, in)
@@ -183,28 +185,37 @@
 // lent past a class that is owed some and waits for headroom, or a flood of the
 // more urgent class would use up the headroom and keep it waiting for ever.
 func (q *Queue) choose(now time.Time) *class {
+	running := q.running()
+	for i := range q.classes {
+		q.classes[i].setOwed(now, running)
+	}
 	var blocked [Classes]bool
+	held := false
 	for {
 		best := q.foremost(now, &blocked)
-		if best == nil || q.leavesHeadroom(best) {
-			return best
-		}
-		if best.credit > 0 && !q.owed(&blocked, best) {
+		if best == nil || held && !best.owed {
 			return nil
 		}
+		if q.leavesHeadroom(best) {
+			return best
+		}
 		blocked[best.kind] = true
+		held = held || best.owed
 	}
 }
 
-// owed reports whether a class other than best is owed service and may be served.
-func (q *Queue) owed(blocked *[Classes]bool, best *class) bool {
-	for i := range q.classes {
-		c := &q.classes[i]
-		if c != best && !blocked[i] && c.credit > 0 && c.heaps[byService].top() != nil {
-			return true
-		}
+// setOwed finds out whether the class or the team that is next in it is behind its
+// guaranteed share. What the class runs now counts beside its account: with long
+// runs the account alone would let it take more and more until the account is
+// even, and then far too little. The team counts as well: a flood that borrowed
+// for its class must not keep the other teams of the class from their shares.
+func (c *class) setOwed(now time.Time, running int64) {
+	c.owed = false
+	if !c.waits() {
+		return
 	}
-	return false
+	behind := c.limits.Share*float64(running) - float64(c.running)
+	c.owed = c.credit+behind*c.meanSeconds() > 0 || c.first(now).claimed < c.clock
 }
 
 // foremost returns the first of the classes that are not blocked.
@@ -212,7 +223,7 @@
 	var best *class
 	for i := range q.classes {
 		c := &q.classes[i]
-		if blocked[i] || c.heaps[byService].top() == nil {
+		if blocked[i] || !c.waits() {
 			continue
 		}
 		if best == nil || c.before(best, now, q.limits.AgeStep) {
@@ -227,17 +238,23 @@
 	if q.Capacity <= 0 {
 		return true
 	}
-	left := q.Capacity - c.heaps[byService].top().ready.front.item.Cost
+	left := q.Capacity - q.running() - c.heaps[byService].top().ready.front.item.Cost
 	headroom := int64(0)
-	for i := range q.classes {
-		left -= q.classes[i].running
-		if i < int(c.kind) {
-			headroom += q.classes[i].limits.Headroom
-		}
+	for i := range c.kind {
+		headroom += q.classes[i].limits.Headroom
 	}
 	return headroom == 0 || left >= headroom
 }
 
+// running returns the running cost of all classes.
+func (q *Queue) running() int64 {
+	sum := int64(0)
+	for i := range q.classes {
+		sum += q.classes[i].running
+	}
+	return sum
+}
+
 // first returns the node with the least weighted service. Service only grows while
 // items run, so a node that is still first after being settled is the right one.
 func (c *class) first(now time.Time) *node {
@@ -258,7 +275,7 @@
 	c.served = max(c.served, n.service)
 	expected := c.serviceTime() * float64(cost)
 	n.prepaid += expected
-	n.service += expected / n.team.limits.Weight
+	n.add(expected)
 	c.prepaid += expected
 	q.run(n, cost)
 	n.rate = n.running
@@ -272,6 +289,7 @@
 	n.team.running += cost
 	n.team.counts[n.class.kind].Running++
 	q.counts[n.class.kind].Running++
+	n.setActive()
 	q.setIdle(n.team)
 }
 
@@ -303,6 +321,7 @@
 	t.running -= cost
 	t.counts[kind].Running--
 	q.counts[kind].Running--
+	n.setActive()
 	q.setIdle(t)
 	q.refreshTeam(t)
 }
