route: drain between attempts, slots of servers that leave after Acquire

Cause: between two attempts a request held no slot, so Drain could close its connections; a slot held for a slow claim could be used long after its server began to leave (I6); the list of the platform has no number of slots. Change: Drain also waits for requests in Do; Do replaces the slot of a leaving server or refuses; slots come from health reports when the list gives none; status shows the reported load.

--- a/pkg/route/backend.go
+++ b/pkg/route/backend.go
@@ -12,7 +12,8 @@
 	Gone State = "gone"
 )
 
-// Backend describes a backend server as the instance list does.
+// Backend describes a backend server as the instance list does. Slots of 0 means that
+// the backend server's health reports give the number.
 type Backend struct {
 	Name, Address, FailureDomain string
 	Slots, Connections           int
@@ -23,9 +24,18 @@
 // Status describes a backend server for status pages.
 type Status struct {
 	Backend
+
+	// Base and Granted are this instance's share of the slots, and Used what is taken of it.
 	Base, Granted, Used int
+
+	// Busy is the number of slots taken by all entry instances in the last health report.
+	Busy int
+
+	// SelfMarked means that the backend server itself said that it is leaving.
 	Ejected, SelfMarked bool
-	Failures            int
-	LatencyMs           float64
-	OpenConnections     int
+
+	// Failures are those in a row.
+	Failures        int
+	LatencyMs       float64
+	OpenConnections int
 }
--- a/pkg/route/bench_test.go
+++ b/pkg/route/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -37,12 +36,7 @@
 
 // BenchmarkDo measures the router against direct requests over the same protocol, taken in turn.
 func BenchmarkDo(b *testing.B) {
-	f := newFake(b, "a")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-	go func() { _ = f.server.Serve(l) }()
-	defer func() { _ = f.server.Close() }()
-	address := l.Addr().String()
+	address := newFake(b, "a").listen()
 	var r route.Router
 	r.SetPeers(1)
 	r.Set([]route.Backend{{Name: "a", Address: address, Slots: 8, Connections: 60}})
--- a/pkg/route/do.go
+++ b/pkg/route/do.go
@@ -25,9 +25,15 @@
 	}
 	r.mu.Lock()
 	r.budget.request(start)
+	r.working++ // between two attempts no slot is taken
+	slot, ok := r.replaceLocked(slot)
 	r.mu.Unlock()
 
 	ans := Answer{Outcome: Refused}
+	if !ok {
+		ans.Reason = "the backend server is leaving and no other has a free slot"
+		return r.finish(ans)
+	}
 	tried := make(map[*server]bool, 1)
 	for {
 		a := r.attempt(slot, &req, end, ans.Attempts+1)
@@ -37,7 +43,6 @@
 		if !res.retryable || (res.outcome != Refused && req.NonIdempotent) {
 			break
 		}
-		var ok bool
 		if slot, ok = r.next(ctx, end, ans.Attempts, tried); !ok {
 			break
 		}
@@ -45,6 +50,16 @@
 	return r.finish(ans)
 }
 
+// replaceLocked gives back the slot of a server that has begun to leave since Acquire, for
+// another if there is one. The time between Acquire and Do has no bound here.
+func (r *Router) replaceLocked(slot Slot) (Slot, bool) {
+	if !slot.ticket.server.leaving() {
+		return slot, true
+	}
+	r.giveBackLocked(slot)
+	return r.acquireLocked(nil)
+}
+
 // add takes over the result of an attempt. An earlier attempt that may have run keeps
 // the outcome from becoming a refusal.
 func (ans *Answer) add(backend string, res result) {
@@ -165,6 +180,7 @@
 		ans.Status, ans.RetryAfter = 0, refusedRetryAfter
 	}
 	r.count(func(s *Stats) {
+		defer r.workedLocked()
 		switch ans.Outcome {
 		case Answered:
 			s.Answered++
--- a/pkg/route/do_test.go
+++ b/pkg/route/do_test.go
@@ -107,25 +107,61 @@
 	}
 }
 
-// Guards against a slot that is given back, or an answer that is used, after its time:
-// the server is still busy with the request.
+// Guards against a slot that is given back, or an answer that is used, after its time, while
+// the server is still busy, and against a server that never answers and is not counted as failed.
 func TestLateAnswerIsDroppedAndHoldsItsSlot(t *testing.T) {
+	for took, failures := range map[time.Duration]int{3 * time.Second: 0, 5 * time.Second: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			x := setup(t, 1)
+			x.fakes[0].handle = func(_ *fake, w http.ResponseWriter, r *http.Request) {
+				time.Sleep(took)
+				reply(w, r, http.StatusOK)
+			}
+			req := request("q")
+			start := time.Now()
+			req.Deadline = start.Add(time.Second)
+			assert.Equal(t, x.send(t, req).Outcome, route.Unknown)
+			assert.Equal(t, time.Since(start), time.Second)
+			time.Sleep(took - 1001*time.Millisecond)
+			assert.Equal(t, x.Free(), 7)
+			assert.Equal(t, x.Snapshot()[0].Failures, failures)
+			time.Sleep(2 * time.Millisecond)
+			assert.Equal(t, x.Free(), 8)
+			assert.Equal(t, x.Stats().LateAnswers, uint64(1))
+			assert.Equal(t, x.ran("q"), 1)
+		})
+	}
+}
+
+// Guards I7: a drain interrupts no request in progress, also not one between two attempts.
+func TestDrainWaitsForRequestsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := setup(t, 1)
-		x.fakes[0].handle = func(_ *fake, w http.ResponseWriter, r *http.Request) {
-			time.Sleep(3 * time.Second)
-			reply(w, r, http.StatusOK)
+		x := setup(t, 2)
+		for _, f := range x.fakes {
+			f.handle = func(f *fake, w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Second)
+				if f.name == "a" {
+					panic(http.ErrAbortHandler)
+				}
+				reply(w, r, http.StatusOK)
+			}
 		}
-		req := request("q")
-		req.Deadline = time.Now().Add(time.Second)
+		done := make(chan route.Answer)
+		go func() { done <- x.send(t, request("q")) }()
+		time.Sleep(time.Millisecond)
 		start := time.Now()
-		ans := x.send(t, req)
-		assert.Equal(t, ans.Outcome, route.Unknown)
-		assert.Equal(t, time.Since(start), time.Second)
-		assert.Equal(t, x.Free(), 7)
-		time.Sleep(2100 * time.Millisecond)
+		assert.NilError(t, x.Drain(t.Context()))
+		assert.Equal(t, time.Since(start), 1999*time.Millisecond)
+		assert.Equal(t, (<-done).Outcome, route.Answered)
+	})
+}
+
+// Guards against servers without work because the list does not say how many slots they have.
+func TestSlotsComeFromHealthWhenTheListHasNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := setup(t, 1)
+		x.Set([]route.Backend{{Name: "b", Address: x.list[0].Address}})
+		x.watch(t)
 		assert.Equal(t, x.Free(), 8)
-		assert.Equal(t, x.Stats().LateAnswers, uint64(1))
-		assert.Equal(t, x.ran("q"), 1)
 	})
 }
--- a/pkg/route/fake_test.go
+++ b/pkg/route/fake_test.go
@@ -48,6 +48,15 @@
 	return f
 }
 
+// listen serves on a loopback port and returns its address.
+func (f *fake) listen() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	go func() { _ = f.server.Serve(l) }()
+	f.t.Cleanup(func() { _ = f.server.Close() })
+	return l.Addr().String()
+}
+
 func (f *fake) run(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	f.runs[r.Header.Get("Request-Id")]++
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -92,6 +92,10 @@
 	if rep.Incarnation > s.Incarnation {
 		s.restarted(rep.Incarnation)
 	}
+	s.busy = rep.Busy
+	if s.noSlots {
+		s.Slots = max(rep.Slots, 0)
+	}
 	if rep.State == Leaving {
 		s.selfMarked = true
 	}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -127,12 +127,17 @@
 	}
 	t.spent = true
 	t.server.used--
+	r.workedLocked()
+	r.signalLocked()
+}
+
+// workedLocked ends a piece of work that Drain waits for.
+func (r *Router) workedLocked() {
 	r.working--
 	if r.working == 0 && r.idle != nil {
 		close(r.idle)
 		r.idle = nil
 	}
-	r.signalLocked()
 }
 
 // Free returns the number of slots that are free now.
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -74,7 +74,7 @@
 	grantsAt time.Time
 	freed    chan struct{}
 	wake     chan *server
-	working  int // slots taken
+	working  int // slots taken and requests in Do
 	idle     chan struct{}
 	closed   bool
 }
@@ -123,7 +123,7 @@
 		if b.State == Gone {
 			continue
 		}
-		s := &server{router: r, Backend: b, listedState: b.State}
+		s := &server{router: r, Backend: b, listedState: b.State, noSlots: b.Slots == 0}
 		r.byName[b.Name] = s
 	}
 	for name, s := range r.byName {
@@ -192,7 +192,7 @@
 	return r.wake
 }
 
-// Drain waits until no slot is taken or ctx ends, then closes all connections.
+// Drain waits until no slot is taken and no request is in Do, or ctx ends, then closes all connections.
 // It interrupts no request in progress unless ctx ends first.
 func (r *Router) Drain(ctx context.Context) error {
 	var err error
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -20,6 +20,8 @@
 	links  links
 
 	listedState State
+	noSlots     bool // the list does not say how many, so health reports do
+	busy        int  // slots taken by all entry instances, from the last health report
 	selfMarked  bool
 	polling     bool
 
@@ -52,6 +54,10 @@
 	if b.Address != s.Address {
 		go s.links.retire()
 	}
+	s.noSlots = b.Slots == 0
+	if s.noSlots {
+		b.Slots = s.Slots
+	}
 	s.Backend, s.listedState = b, b.State
 }
 
@@ -121,7 +127,7 @@
 func (s *server) status(now time.Time, peers int, ejected bool) Status {
 	st := Status{
 		Backend: s.Backend, Base: baseShare(s.Slots, peers), Used: s.used,
-		Ejected: ejected, SelfMarked: s.selfMarked, Failures: s.failures,
+		Busy: s.busy, Ejected: ejected, SelfMarked: s.selfMarked, Failures: s.failures,
 		LatencyMs: s.latency.seconds * 1000,
 	}
 	if now.Before(s.grantEnd) {
--- a/pkg/route/state_test.go
+++ b/pkg/route/state_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// Guards I6 when a slot is held for a while before it is used, as for a claim in the table.
+func TestSlotOfALeavingServerIsNotUsed(t *testing.T) {
+	for n, want := range map[int]route.Outcome{1: route.Refused, 2: route.Answered} {
+		synctest.Test(t, func(t *testing.T) {
+			x := setup(t, n)
+			slot, _ := x.Acquire("r")
+			x.list[0].State = route.Leaving
+			x.Set(x.list)
+			assert.Equal(t, x.Do(t.Context(), slot, request("q")).Outcome, want)
+			assert.Equal(t, x.fakes[0].ran("q"), 0)
+			assert.Equal(t, x.Free(), 8*(n-1))
+		})
+	}
+}
+
 // Guards against an idle connection that went silent and is found by the next request.
 func TestIdleSilentConnectionIsReplacedAndItsServerKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
