--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -30,12 +30,7 @@
 	if r.closed {
 		return Slot{}, false
 	}
-	now := r.now()
-	free := r.candidatesLocked(now, avoid)
-	if len(free) == 0 && len(avoid) > 0 {
-		free = r.candidatesLocked(now, nil)
-	}
-	s := r.bestLocked(now, free)
+	s := r.pickLocked(r.now(), avoid)
 	if s == nil {
 		return Slot{}, false
 	}
@@ -45,36 +40,55 @@
 	return Slot{Backend: s.Name, ticket: &ticket{server: s}}, true
 }
 
-// candidatesLocked returns the servers with a free share that may take new work.
-func (r *Router) candidatesLocked(now time.Time, avoid map[*server]bool) []*server {
+// pickLocked returns the better of two random servers that may take new work. It looks
+// for those that may among all servers only if one of the two may not.
+func (r *Router) pickLocked(now time.Time, avoid map[*server]bool) *server {
+	a, b := r.twoLocked(r.servers)
 	n := r.peersLocked(now)
-	r.scratch = r.scratch[:0]
-	for _, s := range r.servers {
-		if s.leaving() || avoid[s] || s.used >= s.limit(now, n) || r.ejectedLocked(s, now) {
-			continue
+	if b == nil || !r.takesLocked(a, now, n, avoid) || !r.takesLocked(b, now, n, avoid) {
+		free := r.candidatesLocked(now, avoid)
+		if len(free) == 0 && len(avoid) > 0 {
+			free = r.candidatesLocked(now, nil)
 		}
-		r.scratch = append(r.scratch, s)
+		a, b = r.twoLocked(free)
 	}
-	return r.scratch
+	if b != nil && b.cost(now) < a.cost(now) {
+		return b
+	}
+	return a
 }
 
-// bestLocked returns the better of two random choices.
-func (r *Router) bestLocked(now time.Time, free []*server) *server {
-	switch len(free) {
+// twoLocked returns two different random servers of a list, as far as it has them.
+func (r *Router) twoLocked(list []*server) (a, b *server) {
+	switch len(list) {
 	case 0:
-		return nil
+		return nil, nil
 	case 1:
-		return free[0]
+		return list[0], nil
 	}
-	i := r.random(len(free))
-	j := r.random(len(free) - 1)
+	i := r.random(len(list))
+	j := r.random(len(list) - 1)
 	if j >= i {
 		j++
 	}
-	if free[j].cost(now) < free[i].cost(now) {
-		return free[j]
+	return list[i], list[j]
+}
+
+// takesLocked reports whether a server may take new work from this instance.
+func (r *Router) takesLocked(s *server, now time.Time, peers int, avoid map[*server]bool) bool {
+	return !s.leaving() && !avoid[s] && s.used < s.limit(now, peers) && !r.ejectedLocked(s, now)
+}
+
+// candidatesLocked returns the servers that may take new work.
+func (r *Router) candidatesLocked(now time.Time, avoid map[*server]bool) []*server {
+	n := r.peersLocked(now)
+	r.scratch = r.scratch[:0]
+	for _, s := range r.servers {
+		if r.takesLocked(s, now, n, avoid) {
+			r.scratch = append(r.scratch, s)
+		}
 	}
-	return free[i]
+	return r.scratch
 }
 
 // ejectedLocked reports whether a server is ejected. When the pool has shrunk so far that
--- a/pkg/route/trial/trial.go
+++ b/pkg/route/trial/trial.go
@@ -18,7 +18,6 @@
 	service        = 20 * time.Millisecond
 	ratePerSecond  = 1700 // the servers sustain about 3,200
 	reportInterval = time.Second
-	slowFactor     = 5 // of the first server
 )
 
 // Result is the latency of one policy, waiting time included.
@@ -27,11 +26,12 @@
 	P50, P99 time.Duration
 }
 
-// Run simulates every policy with the same arrivals and service times.
-func Run(seed uint64) []Result {
+// Run simulates every policy with the same arrivals and service times. The first server
+// takes slow times as long as the others.
+func Run(seed uint64, slow float64) []Result {
 	results := make([]Result, 0, len(policies))
 	for _, p := range policies {
-		h := newSimulation(p, seed).run()
+		h := newSimulation(p, seed, slow).run()
 		results = append(results, Result{
 			Policy: p.name,
 			P50:    time.Duration(h.ValueAtQuantile(50)) * time.Microsecond,
@@ -68,6 +68,7 @@
 
 type simulation struct {
 	policy policy
+	slow   float64
 	now    time.Time
 	agenda agenda
 	busy   [servers]int
@@ -78,9 +79,9 @@
 	hist   *hdrhistogram.Histogram
 }
 
-func newSimulation(p policy, seed uint64) *simulation {
+func newSimulation(p policy, seed uint64, slow float64) *simulation {
 	s := &simulation{
-		policy: p, now: time.Unix(1_000_000, 0), left: requests, open: requests,
+		policy: p, slow: slow, now: time.Unix(1_000_000, 0), left: requests, open: requests,
 		random: rand.New(rand.NewPCG(seed, 0)),
 		hist:   hdrhistogram.New(1, time.Minute.Microseconds(), 3),
 	}
@@ -136,7 +137,7 @@
 	s.busy[to]++
 	d := j.work * max(1, float64(s.busy[to])/cores)
 	if to == 0 {
-		d *= slowFactor
+		d *= s.slow
 	}
 	sent := s.now
 	s.after(seconds(d), func() {
--- a/pkg/route/trial/trial_test.go
+++ b/pkg/route/trial/trial_test.go
@@ -11,16 +11,20 @@
 
 // Guards against a router whose policy is worse than a simple one or than one with HAVEN's
 // counting, which is left out because it loses. Run with -v for the figures.
-func TestRoutersPolicyHasTheLowestTail(t *testing.T) {
-	for seed := uint64(1); seed <= 2; seed++ {
-		p99 := make(map[string]time.Duration)
-		for _, r := range trial.Run(seed) {
-			t.Logf("seed %d  %-25s p50 %6.1f ms  p99 %6.1f ms", seed, r.Policy,
-				r.P50.Seconds()*1000, r.P99.Seconds()*1000)
-			p99[r.Policy] = r.P99
-		}
-		for name, d := range p99 {
-			assert.Check(t, p99["peak EWMA"] <= d, name)
+func TestRouterPolicyHasTheLowestTail(t *testing.T) {
+	for _, slow := range []float64{5, 1} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			p99 := make(map[string]time.Duration)
+			for _, r := range trial.Run(seed, slow) {
+				t.Logf("slow %v seed %d  %-25s p50 %6.1f ms  p99 %6.1f ms", slow, seed, r.Policy,
+					r.P50.Seconds()*1000, r.P99.Seconds()*1000)
+				p99[r.Policy] = r.P99
+			}
+			for name, d := range p99 {
+				// Among equal servers all good policies are within a few percent.
+				limit := map[float64]time.Duration{5: d, 1: d + d/20}[slow]
+				assert.Check(t, p99["peak EWMA"] <= limit, name)
+			}
 		}
 	}
 }
