route: tell silent connections before the library closes them, report state changes

Change: the time since the last byte decides; idle connections that take no requests are closed; Changed reports changes of state; the lender prunes and its remainders no longer depend on a random hash seed; Request-Team, which the protocol does not have, is not sent.

--- a/pkg/route/attempt.go
+++ b/pkg/route/attempt.go
@@ -21,7 +21,6 @@
 	headerID       = "Request-Id"
 	headerDeadline = "Request-Deadline-Ms"
 	headerClass    = "Request-Class"
-	headerTeam     = "Request-Team"
 	headerRunState = "Run-State"
 	headerState    = "Server-State"
 
@@ -145,7 +144,6 @@
 		headerDeadline: {strconv.FormatInt(left.Milliseconds(), 10)},
 	}
 	setIfAny(header, headerClass, q.Class)
-	setIfAny(header, headerTeam, q.Team)
 	setIfAny(header, "Content-Type", q.ContentType)
 	req := &http.Request{
 		Method: http.MethodPost, URL: target, Host: target.Host, Header: header,
--- a/pkg/route/do.go
+++ b/pkg/route/do.go
@@ -230,7 +230,7 @@
 // silent reports whether the attempt ended because its connection went silent. That says
 // nothing of the server, unless the connection never worked.
 func (a *attempt) silent() bool {
-	return a.link != nil && a.link.lost.Load() && a.link.heard.Load()
+	return a.link != nil && a.link.worked.Load() && a.link.silent()
 }
 
 func (a *attempt) noteRefusalLocked(now time.Time, res result) {
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -58,6 +58,7 @@
 	s.polling = false
 	if err == nil {
 		s.report(rep)
+		s.noteState(now)
 		r.signalLocked()
 		return
 	}
@@ -106,4 +107,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.selfMarked = true
+	s.noteState(r.now())
 }
--- a/pkg/route/lender.go
+++ b/pkg/route/lender.go
@@ -1,7 +1,7 @@
 package route
 
 import (
-	"hash/maphash"
+	"hash/fnv"
 	"slices"
 	"sort"
 	"time"
@@ -100,6 +100,23 @@
 		}
 	}
 	l.settle(now)
+	l.prune(now)
+}
+
+// prune forgets grants that have ended and demands that no grant can follow from.
+func (l *Lender) prune(now time.Time) {
+	for _, holders := range l.granted {
+		for holder := range holders {
+			if reservedSlots(holders[holder], now) == 0 {
+				delete(holders, holder)
+			}
+		}
+	}
+	for holder, d := range l.demands {
+		if now.Sub(d.at) >= LeaseTime {
+			delete(l.demands, holder)
+		}
+	}
 }
 
 // Demand records what a holder wants beyond its base shares.
@@ -207,10 +224,11 @@
 	return parts[holder]
 }
 
-var hashSeed = maphash.MakeSeed()
-
+// nameHash makes the remainders of different backend servers go to different holders.
 func nameHash(name string) int {
-	return int(maphash.String(hashSeed, name) >> 33)
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() >> 1)
 }
 
 func (l *Lender) reserve(now time.Time, backend, holder string, n int) {
@@ -229,8 +247,12 @@
 }
 
 func (l *Lender) reservedBy(now time.Time, backend, holder string) int {
+	return reservedSlots(l.granted[backend][holder], now)
+}
+
+func reservedSlots(list []reservation, now time.Time) int {
 	n := 0
-	for _, r := range l.granted[backend][holder] {
+	for _, r := range list {
 		if r.until.After(now) {
 			n = max(n, r.slots)
 		}
@@ -266,7 +288,6 @@
 	for name, left := range l.members {
 		if !left.IsZero() && now.Sub(left) >= baseHold {
 			delete(l.members, name)
-			delete(l.demands, name)
 		}
 	}
 	for name := range l.pending {
--- a/pkg/route/link.go
+++ b/pkg/route/link.go
@@ -25,10 +25,26 @@
 type link struct {
 	conn    *http.ClientConn
 	address string
-	heard   atomic.Bool // a byte has arrived
-	lost    atomic.Bool // a PING was not answered
-	closing atomic.Bool // closed by this package
-	retired bool        // takes no new requests; guarded by links.mu
+	opened  time.Time
+	heardAt atomic.Int64 // when the last byte came, in nanoseconds after opened
+	worked  atomic.Bool  // a byte has arrived
+	failed  atomic.Bool  // a read or write has failed
+	closing atomic.Bool  // closed by this package
+	lost    atomic.Bool  // closed by the library because it was silent
+	retired bool         // takes no new requests; guarded by links.mu
+}
+
+// quiet reports whether no byte has come for a PING's time and nothing else has failed.
+func (ln *link) quiet() bool {
+	silence := time.Since(ln.opened) - time.Duration(ln.heardAt.Load())
+	return silence >= pingTimeout && !ln.failed.Load() && !ln.closing.Load()
+}
+
+// silent reports whether the connection closed because it was silent. The library ends the
+// requests before it closes the connection, so lost alone would come too late.
+func (ln *link) silent() bool {
+	closing := ln.conn.Err() != nil && ln.quiet()
+	return closing || ln.lost.Load()
 }
 
 func (ln *link) close() {
@@ -84,11 +100,13 @@
 	}
 }
 
-// sweepLocked drops closed connections and closes retired ones that are idle.
+// sweepLocked drops closed connections and closes idle ones that take no new requests.
 func (l *links) sweepLocked() {
 	kept := l.open[:0]
 	for _, ln := range l.open {
-		if ln.retired && ln.conn.InFlight() == 0 {
+		// After a GOAWAY the library closes the connection only if a stream ends later.
+		unusable := ln.retired || ln.conn.Available() == 0
+		if unusable && ln.conn.InFlight() == 0 {
 			ln.close()
 		}
 		if ln.conn.Err() == nil {
@@ -179,7 +197,7 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), orDefault(r.DialTimeout, DefaultDialTimeout))
 	defer cancel()
-	ln := &link{address: address}
+	ln := &link{address: address, opened: time.Now()}
 	conn, err := s.transport(ln).NewClientConn(ctx, "http", address)
 	if err != nil {
 		r.count(func(st *Stats) { st.DialFailures++ })
@@ -207,7 +225,6 @@
 			watched := &watchedConn{Conn: conn, link: ln, onLost: func() {
 				r.count(func(st *Stats) { st.SilentConnections++ })
 			}}
-			watched.heard.Store(time.Now().UnixNano())
 			return watched, nil
 		},
 		HTTP2: &http.HTTP2Config{
@@ -233,18 +250,16 @@
 	net.Conn
 	link   *link
 	onLost func()
-	heard  atomic.Int64 // when the last byte arrived, in Unix nanoseconds
-	failed atomic.Bool
 }
 
 func (c *watchedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.heard.Store(time.Now().UnixNano())
-		c.link.heard.Store(true)
+		c.link.heardAt.Store(int64(time.Since(c.link.opened)))
+		c.link.worked.Store(true)
 	}
 	if err != nil {
-		c.failed.Store(true)
+		c.link.failed.Store(true)
 	}
 	return n, err
 }
@@ -253,16 +268,14 @@
 	n, err := c.Conn.Write(p)
 	var timeout net.Error
 	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
-		c.failed.Store(true)
+		c.link.failed.Store(true)
 	}
 	return n, err
 }
 
 // Close notes a close without a read or write error after a PING's time of silence.
 func (c *watchedConn) Close() error {
-	silence := time.Now().UnixNano() - c.heard.Load()
-	lost := !c.failed.Load() && !c.link.closing.Load() && silence >= int64(pingTimeout)
-	if lost && c.link.lost.CompareAndSwap(false, true) {
+	if c.link.quiet() && c.link.lost.CompareAndSwap(false, true) {
 		c.onLost()
 	}
 	return c.Conn.Close()
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Request is one request to forward.
+// Request is one request to forward. The ID is unique. The Body must not change, not even
+// after Do has returned: an attempt whose answer comes too late may still be sending it.
 type Request struct {
 	ID, Route, Class, Team string
 	Body                   []byte
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -54,6 +54,9 @@
 	// Observe is called after each attempt, possibly from several goroutines at once.
 	Observe func(Attempt)
 
+	// Changed is called by Run for each change of state of a backend server.
+	Changed func(Change)
+
 	// Now tells the time; nil means time.Now.
 	Now func() time.Time
 
@@ -74,6 +77,7 @@
 	grantsAt time.Time
 	freed    chan struct{}
 	wake     chan *server
+	changes  chan Change
 	working  int // slots taken and requests in Do
 	idle     chan struct{}
 	closed   bool
@@ -140,6 +144,7 @@
 func (r *Router) sweepLocked(now time.Time) {
 	r.servers = r.servers[:0:0]
 	for name, s := range r.byName {
+		s.noteState(now)
 		if !s.gone() || s.used > 0 {
 			s.goneSince = now
 			r.servers = append(r.servers, s)
@@ -171,7 +176,7 @@
 // wait starts the polls that are asked for until the next tick; false means that ctx ended.
 func (r *Router) wait(ctx context.Context, tick <-chan time.Time, polls *sync.WaitGroup) bool {
 	r.mu.Lock()
-	wake := r.wakeLocked()
+	wake, changes := r.wakeLocked(), r.changesLocked()
 	r.mu.Unlock()
 	for {
 		select {
@@ -181,6 +186,8 @@
 			return true
 		case s := <-wake:
 			r.startPoll(ctx, s, polls)
+		case c := <-changes:
+			r.Changed(c)
 		}
 	}
 }
--- a/pkg/route/server.go
+++ b/pkg/route/server.go
@@ -24,6 +24,7 @@
 	busy        int  // slots taken by all entry instances, from the last health report
 	selfMarked  bool
 	polling     bool
+	noted       string // the state last reported
 
 	goneSince time.Time
 
@@ -120,6 +121,7 @@
 	s.ejectUntil = now.Add(d)
 	s.ejections++
 	s.router.stats.Ejections++
+	s.noteState(now)
 	time.AfterFunc(d, s.router.signal)
 	return true
 }
--- a/pkg/route/share.go
+++ b/pkg/route/share.go
@@ -15,6 +15,7 @@
 func (r *Router) SetPeers(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	n = max(n, 1)
 	p := &r.peers
 	if p.n == 0 || n >= p.n {
 		*p = peers{n: n, pending: n}
--- a/pkg/route/state_test.go
+++ b/pkg/route/state_test.go
@@ -61,10 +61,15 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				x := setup(t, 1)
+				state := ""
+				x.Changed = func(c route.Change) { state = c.State }
 				x.watch(t)
 				for _, step := range c.steps {
 					step(x)
 				}
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				assert.Equal(t, state == "live", c.takes, state)
 				slot, ok := x.Acquire("r")
 				assert.Equal(t, ok, c.takes)
 				if ok {
@@ -218,7 +223,12 @@
 		"refused stream": {func(f *http2.Framer, id uint32) error {
 			return f.WriteRSTStream(id, http2.ErrCodeRefusedStream)
 		}, route.Answered},
-		"goaway below":  {func(f *http2.Framer, _ uint32) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) }, route.Answered},
+		"goaway below": {func(f *http2.Framer, _ uint32) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) }, route.Answered},
+		"goaway when idle": {func(f *http2.Framer, id uint32) error {
+			_ = f.WriteRSTStream(id, http2.ErrCodeRefusedStream)
+			time.Sleep(time.Millisecond)
+			return f.WriteGoAway(id, http2.ErrCodeNo, nil)
+		}, route.Answered},
 		"cancelled":     {func(f *http2.Framer, id uint32) error { return f.WriteRSTStream(id, http2.ErrCodeCancel) }, route.Unknown},
 		"goaway at end": {func(f *http2.Framer, id uint32) error { return f.WriteGoAway(id, http2.ErrCodeNo, nil) }, route.Unknown},
 	}
@@ -238,6 +248,14 @@
 				req := request("q")
 				req.NonIdempotent = true
 				ans := x.send(t, req)
+				opened := x.Stats().ConnectionsOpened
+				for range 3 { // one that only waits for its end must not block new ones
+					time.Sleep(2 * time.Millisecond)
+					_ = x.send(t, request("more"))
+				}
+				if name == "goaway when idle" {
+					assert.Equal(t, x.Stats().ConnectionsOpened, opened+3)
+				}
 				time.Sleep(2 * time.Second) // the end of serveFrames
 				assert.Equal(t, ans.Outcome, c.want, ans.Reason)
 				assert.Equal(t, x.fakes[1].ran("q") == 1, c.want == route.Answered)
--- a/pkg/route/stats.go
+++ b/pkg/route/stats.go
@@ -15,6 +15,7 @@
 	ConnectionsOpened                  uint64
 	DialFailures                       uint64
 	PollFailures                       uint64
+	ChangesDropped                     uint64 // not reported to Changed because it is too slow
 }
 
 // Stats returns the counters.
