--- a/pkg/lease/porcupine_test.go
+++ b/pkg/lease/porcupine_test.go
@@ -26,8 +26,8 @@
 	epoch  int64
 }
 
-// owner is the state of the model.
-type owner struct {
+// recordedOwner is the state of the model.
+type recordedOwner struct {
 	holder string
 	epoch  int64
 }
@@ -35,11 +35,11 @@
 // ownership says that epochs only increase, and that a holder's proofs and fenced commits take
 // effect while no later epoch has begun.
 var ownership = porcupine.Model{
-	Init: func() any { return owner{} },
+	Init: func() any { return recordedOwner{} },
 	Step: func(state, input, _ any) (bool, any) {
-		now, did := state.(owner), input.(act)
+		now, did := state.(recordedOwner), input.(act)
 		if did.kind == "acquire" {
-			return did.epoch > now.epoch, owner{holder: did.holder, epoch: did.epoch}
+			return did.epoch > now.epoch, recordedOwner{holder: did.holder, epoch: did.epoch}
 		}
 		return did.holder == now.holder && did.epoch == now.epoch, now
 	},
@@ -165,7 +165,7 @@
 	return string(tx.Puts[1].Value)
 }
 
-// fenced commits a row as the owner of the lease.
+// fenced commits a row as the recordedOwner of the lease.
 func fenced(h *history, id int, l lease.Lease, client *table.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
--- a/pkg/route/attempt.go
+++ b/pkg/route/attempt.go
@@ -21,7 +21,6 @@
 	headerID       = "Request-Id"
 	headerDeadline = "Request-Deadline-Ms"
 	headerClass    = "Request-Class"
-	headerTeam     = "Request-Team"
 	// headerKey carries the caller's key. It is not called Idempotency-Key, since
 	// net/http repeats requests with that header by itself.
 	headerKey      = "Request-Key"
@@ -148,7 +147,6 @@
 		headerDeadline: {strconv.FormatInt(left.Milliseconds(), 10)},
 	}
 	setIfAny(header, headerClass, q.Class)
-	setIfAny(header, headerTeam, q.Team)
 	setIfAny(header, headerKey, q.Key)
 	setIfAny(header, "Content-Type", q.ContentType)
 	req := &http.Request{
--- a/pkg/route/fake_test.go
+++ b/pkg/route/fake_test.go
@@ -48,6 +48,15 @@
 	return f
 }
 
+// listen serves on a loopback port and returns its address.
+func (f *fake) listen() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	go func() { _ = f.server.Serve(l) }()
+	f.t.Cleanup(func() { _ = f.server.Close() })
+	return l.Addr().String()
+}
+
 func (f *fake) run(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	f.runs[r.Header.Get("Request-Id")]++
@@ -155,20 +164,16 @@
 }
 
 // freeze makes the open connections silent; new ones work.
-func (f *fake) freeze() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, g := range f.gates {
-		g.silent.Store(true)
-	}
-}
+func (f *fake) freeze() { f.each(func(g *gate) { g.silent.Store(true) }) }
 
 // cut closes the open connections.
-func (f *fake) cut() {
+func (f *fake) cut() { f.each(func(g *gate) { _ = g.Close() }) }
+
+func (f *fake) each(change func(*gate)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.gates {
-		_ = g.Close()
+		change(g)
 	}
 }
 
--- a/pkg/route/health.go
+++ b/pkg/route/health.go
@@ -58,6 +58,7 @@
 	s.polling = false
 	if err == nil {
 		s.report(rep)
+		s.noteState(now)
 		r.signalLocked()
 		return
 	}
@@ -92,6 +93,10 @@
 	if rep.Incarnation > s.Incarnation {
 		s.restarted(rep.Incarnation)
 	}
+	s.busy = rep.Busy
+	if s.noSlots {
+		s.Slots = max(rep.Slots, 0)
+	}
 	if rep.State == Leaving {
 		s.selfMarked = true
 	}
@@ -102,4 +107,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.selfMarked = true
+	s.noteState(r.now())
 }
