--- /dev/null
+++ b/pkg/table/client_test.go
@@ -0,0 +1,150 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/pkg/table"
+	"github.com/daisyrack/daisyrack/pkg/table/fake"
+)
+
+// Guards against a write that is applied twice, or reported wrongly, when an answer is lost.
+func TestCommitResolvesLostAnswers(t *testing.T) {
+	guarded := table.Commit{
+		Checks: []table.Check{{Key: "a"}},
+		Puts:   []table.Put{{Key: "a", Value: []byte("1")}},
+	}
+	blind := table.Commit{Puts: []table.Put{{Key: "a", Value: []byte("1")}}}
+	cases := []struct {
+		name    string
+		tx      table.Commit
+		faults  []fake.Fault // of the calls in order; later calls have none
+		want    table.Outcome
+		applied int
+	}{
+		{"no fault", guarded, nil, table.Committed, 1},
+		{"answer lost", guarded, []fake.Fault{{Lose: true}}, table.Committed, 1},
+		{"answer lost, blind", blind, []fake.Fault{{Lose: true}}, table.Committed, 1},
+		{"answer slower than the timeout", guarded, []fake.Fault{{After: 5 * time.Second}}, table.Committed, 1},
+		{"answer and token read lost", guarded, []fake.Fault{{Lose: true}, {Drop: true}}, table.Committed, 1},
+		{"request lost", guarded, []fake.Fault{{Drop: true}}, table.Committed, 1},
+		{"request lost, blind", blind, []fake.Fault{{Drop: true}}, table.Unknown, 0},
+		{"request and repeat lost", guarded, []fake.Fault{{Drop: true}, {}, {Drop: true}}, table.Committed, 1},
+		{"request late, repeat first", guarded, []fake.Fault{{Late: time.Second}}, table.Committed, 1},
+		{"request late, before the repeat", guarded, []fake.Fault{{Late: time.Millisecond}, {}, {Before: time.Second}}, table.Committed, 1},
+		{"refused", guarded, []fake.Fault{{Status: 503}}, table.Refused, 0},
+		{"too many calls", guarded, []fake.Fault{{Status: 429}}, table.Refused, 0},
+		{"gateway timeout after the effect", guarded, []fake.Fault{{Status: 504}}, table.Committed, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var store fake.Table
+				calls := 0
+				store.Fault = func(fake.Call) fake.Fault {
+					calls++
+					if calls <= len(tc.faults) {
+						return tc.faults[calls-1]
+					}
+					return fake.Fault{}
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				res := store.Client("a").Commit(ctx, tc.tx)
+				assert.Equal(t, res.Outcome, tc.want, "%v", res.Err)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, store.Stats().Applied, tc.applied)
+				if row, ok := store.Get("a"); ok {
+					assert.Equal(t, res.Version, row.Version)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a conflict with another writer that is taken for the own lost write.
+func TestCommitReportsForeignConflictAfterLostRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store fake.Table
+		insert := table.Commit{
+			Checks: []table.Check{{Key: "a"}},
+			Puts:   []table.Put{{Key: "a", Value: []byte("1")}},
+		}
+		first := true
+		store.Fault = func(call fake.Call) fake.Fault {
+			drop := first && call.Caller == "loser"
+			first = first && !drop
+			return fake.Fault{Drop: drop}
+		}
+		assert.Equal(t, store.Client("winner").Commit(t.Context(), insert).Outcome, table.Committed)
+		res := store.Client("loser").Commit(t.Context(), insert)
+		assert.Equal(t, res.Outcome, table.Conflict)
+		assert.DeepEqual(t, res.Conflicts, []table.Check{{Key: "a", Version: 1}})
+	})
+}
+
+// Guards against Unknown for a commit that can't have reached the store.
+func TestCommitIsRefusedWithoutConnection(t *testing.T) {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	client := table.Client{BaseURL: "http://table", HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.Equal(t, client.Commit(ctx, table.Commit{}).Outcome, table.Refused)
+	cancel()
+	assert.Equal(t, client.Commit(ctx, table.Commit{}).Outcome, table.Refused)
+	assert.Equal(t, client.LostAnswers.Load(), int64(0))
+}
+
+// Guards against a scan that ends after its first page or exceeds its share of the read budget.
+func TestAllRowsReadsEveryPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store fake.Table
+		client := store.Client("a")
+		const pages = 5
+		tx := table.Commit{Puts: []table.Put{{Key: "other/x"}, {Key: "jobz"}}}
+		for i := range pages * table.PageRows {
+			tx.Puts = append(tx.Puts, table.Put{Key: fmt.Sprintf("job/%d", i)})
+		}
+		assert.Equal(t, client.Commit(t.Context(), tx).Outcome, table.Committed)
+		began := time.Now()
+		rows, version, err := client.AllRows(t.Context(), "job/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), pages*table.PageRows)
+		assert.Equal(t, version, int64(1))
+		assert.Assert(t, time.Since(began) >= pages*time.Second/200)
+
+		store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: 503} })
+		_, _, err = client.AllRows(t.Context(), "job/")
+		assert.ErrorContains(t, err, "status 503")
+	})
+}
+
+// Guards against object names that lose or change a part on their way to the store.
+func TestObjectNamesAreKept(t *testing.T) {
+	var store fake.Table
+	client := store.Client("a")
+	names := []string{"usage/a", "once/a%2Fb/c", "once/a/b/c", "once/u/k?x#y", "once/u/\u00e4 %"}
+	for _, name := range names {
+		assert.NilError(t, client.PutObject(t.Context(), name, []byte(name)))
+	}
+	for _, name := range names {
+		b, found, err := client.Object(t.Context(), name)
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+		assert.Equal(t, string(b), name)
+		assert.NilError(t, client.DeleteObject(t.Context(), name))
+	}
+	_, found, err := client.Object(t.Context(), names[0])
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	assert.Equal(t, store.Objects(), 0)
+}
