--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -176,7 +176,9 @@
 	m.heard(now, fromWire(reply.GetSender()), now.Sub(sentAt))
 	m.learn(now, reply.GetMembers())
 	if grants := reply.GetGrants(); len(grants) > 0 {
-		m.node.Router.Grants(now, grantsFromWire(grants))
+		// The owner counts the lease from before it answered; counted from the
+		// arrival, it would outlive the owner's record of it.
+		m.node.Router.Grants(sentAt, grantsFromWire(grants))
 	}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -56,11 +56,9 @@
 	started      time.Time
 }
 
-// slots and connections of a backend server, which the platform's list does not give.
-const (
-	backendSlots       = 8
-	backendConnections = 60
-)
+// backendConnections is the number of connections that a backend server accepts
+// from all instances together; the platform's list does not give it.
+const backendConnections = 60
 
 // NewNode returns an entry instance that listens on its addresses but does nothing yet.
 func NewNode(settings setup.Entry, logger log.Interface) (*Node, error) {
@@ -159,12 +157,17 @@
 }
 
 func (n *Node) buildRouting() {
-	n.Router = &route.Router{Instance: n.Settings.Name, Observe: n.attempted}
+	n.Router = &route.Router{Instance: n.Settings.Name, Observe: n.attempted, Changed: n.backendChanged}
 	n.lender = &lender{node: n}
 	n.Queue = &front.Dispatcher{Router: n.Router, Limits: requestLimits(n.Config.Current()), Now: time.Now}
 	n.Queue.Init()
 }
 
+func (n *Node) backendChanged(c route.Change) {
+	n.record(event.Event{Kind: event.BackendChanged, Backend: c.Backend, Detail: c.State})
+	n.Log.WithField("backend", c.Backend).WithField("state", c.State).Info("backend server changed")
+}
+
 func (n *Node) attempted(a route.Attempt) {
 	n.record(event.Event{
 		Kind:       event.AttemptEnded,
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -82,9 +82,8 @@
 	n.list.Store(&list)
 	now := time.Now()
 	n.members.listed(now, entriesOf(list))
-	backends := n.backendsOf(list)
-	n.Router.Set(backends)
-	n.lender.setBackends(now, backends)
+	n.Router.Set(n.backendsOf(list))
+	n.lender.setBackends(now, n.knownBackends())
 }
 
 func entriesOf(list table.InstanceList) []member.Member {
@@ -103,6 +102,18 @@
 	return entries
 }
 
+// knownBackends returns the backend servers whose number of slots has been
+// learned from their health reports, since the list does not give it.
+func (n *Node) knownBackends() []route.Backend {
+	var known []route.Backend
+	for _, s := range n.Router.Snapshot() {
+		if s.Slots > 0 {
+			known = append(known, s.Backend)
+		}
+	}
+	return known
+}
+
 func (n *Node) backendsOf(list table.InstanceList) []route.Backend {
 	var backends []route.Backend
 	for _, i := range list.Instances {
@@ -113,7 +124,6 @@
 			Name:          i.Name,
 			Address:       i.Address,
 			FailureDomain: i.FailureDomain,
-			Slots:         backendSlots,
 			Connections:   backendConnections,
 			Incarnation:   i.Incarnation,
 			State:         route.State(i.State),
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -40,6 +40,7 @@
 	handlers map[string]http.Handler
 	cut      map[[2]string]bool
 	paused   map[string]chan struct{}
+	held     map[string]chan struct{}
 	calls    sync.WaitGroup
 }
 
@@ -78,6 +79,21 @@
 	delete(n.paused, name)
 }
 
+// hold keeps the commits that an instance sends on their way until release,
+// although their sender gives up on them.
+func (n *network) hold(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[name] = make(chan struct{})
+}
+
+func (n *network) release(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.held[name])
+	delete(n.held, name)
+}
+
 func (n *network) awake(name string) {
 	n.mu.Lock()
 	held := n.paused[name]
@@ -114,11 +130,18 @@
 }
 
 func (l *link) deliver(req *http.Request, handler http.Handler, answer chan *http.Response) {
+	// Read at once, since a caller that gives up closes the body.
+	body, _ := io.ReadAll(req.Body)
 	time.Sleep(time.Millisecond)
+	l.net.mu.Lock()
+	held := l.net.held[l.from]
+	l.net.mu.Unlock()
+	if held != nil && req.Method == http.MethodPost && req.URL.Host == platformHost {
+		<-held
+	}
 	if l.net.isCut(l.from, req.URL.Host) {
 		return
 	}
-	body, _ := io.ReadAll(req.Body)
 	in := req.Clone(context.Background())
 	in.Body = io.NopCloser(bytes.NewReader(body))
 	rec := httptest.NewRecorder()
@@ -151,12 +174,44 @@
 	owner  *sched.Owner
 	keeper *lease.Keeper
 	cancel context.CancelFunc
+	// list follows the platform; a stale one shows no later changes.
+	list *lister
+}
+
+// lister follows the platform's list like an entry instance does.
+type lister struct {
+	mu     sync.Mutex
+	stale  bool
+	newest *table.InstanceList
+}
+
+func (l *lister) set(list table.InstanceList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stale {
+		l.newest = &list
+	}
+}
+
+func (l *lister) freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale = true
+}
+
+func (l *lister) get() (table.InstanceList, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.newest == nil {
+		return table.InstanceList{}, false
+	}
+	return *l.newest, true
 }
 
 func newRig(t *testing.T, workers int) *rig {
 	r := &rig{
 		t:        t,
-		net:      &network{handlers: map[string]http.Handler{}, cut: map[[2]string]bool{}, paused: map[string]chan struct{}{}},
+		net:      &network{handlers: map[string]http.Handler{}, cut: map[[2]string]bool{}, paused: map[string]chan struct{}{}, held: map[string]chan struct{}{}},
 		platform: &plat.Server{Seed: 1},
 		nodes:    map[string]*node{},
 		config:   &config.Holder{},
@@ -207,7 +262,8 @@
 func (r *rig) start(name string) *node {
 	client := &http.Client{Transport: &link{net: r.net, from: name}}
 	db := &table.Client{BaseURL: "http://" + platformHost, FailureDomain: domain, HTTP: client}
-	n := &node{}
+	n := &node{list: &lister{}}
+	r.wg.Go(func() { r.follow(db, n.list) })
 	n.keeper = &lease.Keeper{
 		FailureDomain: domain,
 		Holder:        name,
@@ -227,7 +283,7 @@
 		Commit:         db.Commit,
 		PutObject:      db.PutObject,
 		Object:         db.Object,
-		Instances:      r.lister(db),
+		Instances:      n.list.get,
 		Config:         r.config,
 		Workers:        &agent.Client{HTTP: client},
 		Record:         func(e event.Event) { e.Instance = name; r.events.Add(e) },
@@ -243,30 +299,15 @@
 	return n
 }
 
-// lister follows the platform's list like an entry instance does.
-func (r *rig) lister(db *table.Client) func() (table.InstanceList, bool) {
-	var mu sync.Mutex
-	var newest *table.InstanceList
-	r.wg.Go(func() {
-		for r.ctx.Err() == nil {
-			if list, err := db.Instances(r.ctx); err == nil {
-				mu.Lock()
-				newest = &list
-				mu.Unlock()
-			}
-			select {
-			case <-r.ctx.Done():
-			case <-time.After(time.Second):
-			}
+func (r *rig) follow(db *table.Client, l *lister) {
+	for r.ctx.Err() == nil {
+		if list, err := db.Instances(r.ctx); err == nil {
+			l.set(list)
 		}
-	})
-	return func() (table.InstanceList, bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		if newest == nil {
-			return table.InstanceList{}, false
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(time.Second):
 		}
-		return *newest, true
 	}
 }
 
