--- /dev/null
+++ b/internal/rack/bench_test.go
@@ -0,0 +1,75 @@
+package rack_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/rack"
+	"github.com/daisyrack/daisyrack/pkg/config"
+)
+
+func startRack(b *testing.B, entries int) *rack.Rack {
+	b.Helper()
+	size := rack.DefaultSize()
+	size.Entries = entries
+	r := &rack.Rack{Size: size, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}}
+	assert.NilError(b, r.Start(context.Background()))
+	b.Cleanup(func() {
+		assert.NilError(b, r.Drain(context.Background()))
+		r.Close()
+	})
+	assert.NilError(b, r.Ready(b.Context()))
+	return r
+}
+
+// BenchmarkConfiguration measures the time from a publication's commit call
+// until its revision is in force on every entry instance.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, entries := range []int{2, 3} {
+		b.Run(fmt.Sprintf("instances=%d", 3*entries), func(b *testing.B) {
+			r := startRack(b, entries)
+			times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			version := 0
+			for b.Loop() {
+				version++
+				body := fmt.Appendf(nil, `{"kind":"route","name":"r","deadline_ms":%d}`, version)
+				began := time.Now()
+				assert.NilError(b, r.Publish(b.Context(), []config.Document{{Kind: "route", Name: "r", Body: body}}))
+				assert.NilError(b, times.RecordValue(time.Since(began).Microseconds()))
+			}
+			b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
+		})
+	}
+}
+
+// BenchmarkStore measures the platform calls of an idle rack and of one under load.
+func BenchmarkStore(b *testing.B) {
+	for _, rate := range []int{0, 200} {
+		b.Run(fmt.Sprintf("requests_per_second=%d", rate), func(b *testing.B) {
+			r := startRack(b, 3)
+			docs, err := rack.Examples()
+			assert.NilError(b, err)
+			assert.NilError(b, r.Publish(b.Context(), docs))
+			before, began := r.Platform.Counts(), time.Now()
+			for b.Loop() {
+				ctx, cancel := context.WithTimeout(b.Context(), 10*time.Second)
+				if rate > 0 {
+					(&rack.Load{URLs: r.EntryURLs(), PerSecond: rate}).Run(ctx)
+				}
+				<-ctx.Done()
+				cancel()
+			}
+			after, seconds := r.Platform.Counts(), time.Since(began).Seconds()
+			b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
+			b.ReportMetric(float64(after.Reads-before.Reads)/seconds, "reads/s")
+		})
+	}
+}
