Start the lease's timer with the first wait instead of zero

The cause in the runtime was not found. Change: Keeper.Run makes its first step before it waits, so that no timer is due when it is selected on. Conclusion: a crash may come back; it is in the race runtime, not an assertion.

--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -111,7 +111,7 @@
 		pending: make(map[string]time.Time),
 		backoff: table.Backoff{Max: k.renew()},
 	}
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(c.step(ctx))
 	defer timer.Stop()
 	for {
 		select {
