--- a/pkg/event/event_test.go
+++ b/pkg/event/event_test.go
@@ -33,7 +33,7 @@
 }
 
 // Guards against a dead instance's events being lost, doubled or out of order after merging.
-func TestMirrorAndMergeTellOneStory(t *testing.T) {
+func TestMirrorAndMergeYieldEachEventOnceInOrder(t *testing.T) {
 	a := []event.Event{{Time: 1, Instance: "a", Sequence: 1}, {Time: 5, Instance: "a", Sequence: 2}}
 	b := []event.Event{{Time: 3, Instance: "b", Sequence: 1}, {Time: 5, Instance: "b", Sequence: 2}}
 	m := &event.Mirror{}
--- a/pkg/queue/stats.go
+++ b/pkg/queue/stats.go
@@ -21,7 +21,7 @@
 	Dropped   int64 `json:"dropped"`
 	Expired   int64 `json:"expired"`
 	Cancelled int64 `json:"cancelled"`
-	// OldestWait is the waiting time of the first item at the latest time the queue was told.
+	// OldestWait is the waiting time of the first item at the latest time passed to the queue.
 	OldestWait time.Duration `json:"oldest_wait"`
 }
 
--- a/pkg/queue/verdict.go
+++ b/pkg/queue/verdict.go
@@ -22,7 +22,7 @@
 	ClassFull Reason = "class_full"
 	// TeamFull means that the waiting items of the team are at their bound.
 	TeamFull Reason = "team_full"
-	// TooManyTeams means that no further team can be told apart.
+	// TooManyTeams means that MaxTeams teams have waiting or running items already.
 	TooManyTeams Reason = "too_many_teams"
 )
 
