--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -100,12 +100,18 @@
 
 // checkMeaning finds the faults that a schema can not express.
 func checkMeaning(doc Document) []Fault {
-	if !IsJobKind(doc.Kind) {
-		return nil
-	}
 	var j Job
-	if err := json.Unmarshal(doc.Body, &j); err != nil {
-		return []Fault{{File: doc.File, Value: err.Error(), Allowed: "a job document"}}
+	var err error
+	switch doc.Kind {
+	case KindRoute:
+		err = json.Unmarshal(doc.Body, &Route{})
+	case KindLimits:
+		err = json.Unmarshal(doc.Body, &Limits{})
+	default:
+		err = json.Unmarshal(doc.Body, &j)
+	}
+	if err != nil {
+		return []Fault{DecodeFault(doc.File, err)}
 	}
 	if len(j.Payload) > MaxPayloadBytes {
 		return []Fault{{
--- a/pkg/config/holder.go
+++ b/pkg/config/holder.go
@@ -96,11 +96,13 @@
 }
 
 // After returns the changes after a revision, or the whole snapshot when they are not kept.
+// Without a revision in force the page is empty, so that the asker does not take it for the
+// configuration of an empty table.
 func (h *Holder) After(revision int64) Page {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.Current()
-	if revision >= s.Revision {
+	if !h.Ready() || revision >= s.Revision {
 		return Page{Revision: s.Revision}
 	}
 	if len(h.recent) == 0 || h.recent[0].Revision > revision+1 {
--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -101,7 +101,7 @@
 // recheck does not trust the caller's own check.
 func recheck(pub Publication) []Fault {
 	var faults []Fault
-	for i, doc := range pub.Documents {
+	for _, doc := range pub.Documents {
 		parsed, found := Parse(doc.File, doc.Body)
 		faults = append(faults, found...)
 		if len(found) == 0 && (parsed.Kind != doc.Kind || parsed.Name != doc.Name) {
@@ -112,9 +112,39 @@
 				Allowed: "the kind and name that the document itself gives",
 			})
 		}
-		pub.Documents[i] = doc
 	}
-	return append(faults, CheckTogether(pub.Documents)...)
+	faults = append(faults, CheckTogether(pub.Documents)...)
+	faults = append(faults, checkRemoved(pub)...)
+	sum := len(pub.Documents) + len(pub.Removed)
+	if sum > MaxPublication && len(pub.Removed) > 0 {
+		faults = append(faults, Fault{
+			Value:   fmt.Sprintf("%d documents with the removed ones", sum),
+			Allowed: fmt.Sprintf("at most %d in one publication", MaxPublication),
+		})
+	}
+	return faults
+}
+
+// checkRemoved finds ids that name no document, and those named twice.
+func checkRemoved(pub Publication) []Fault {
+	named := make(map[string]bool)
+	for _, doc := range pub.Documents {
+		named[doc.ID()] = true
+	}
+	var faults []Fault
+	for _, id := range pub.Removed {
+		kind, name, _ := strings.Cut(id, "/")
+		known := kind == "job" || kind == KindRoute || kind == KindLimits
+		if !known || name == "" || named[id] {
+			faults = append(faults, Fault{
+				Field:   "removed",
+				Value:   id,
+				Allowed: "KIND/NAME with kind job, route or limits, named once in a publication",
+			})
+		}
+		named[id] = true
+	}
+	return faults
 }
 
 // try makes one attempt; again is set when only the head had moved.
@@ -159,6 +189,9 @@
 	checks      []table.Check
 	changes     []Change
 	conflicts   []Conflict
+
+	// removals are those after the operator's base revision, by id; read only when needed.
+	removals map[string]Entry
 }
 
 func (p *Publisher) plan(ctx context.Context, pub Publication) (*plan, error) {
@@ -180,7 +213,8 @@
 		if kind == "job" {
 			kind = KindService
 		}
-		entry := Entry{Document: Document{Kind: kind, Name: name}, Version: head.Revision + 1, Author: pub.Author}
+		doc := Document{Kind: kind, Name: name}
+		entry := Entry{Document: doc, Version: head.Revision + 1, Author: pub.Author, AtMS: p.Now().UnixMilli()}
 		change := Change{Entry: entry, Revision: head.Revision + 1, Deleted: true}
 		if err := p.add(ctx, pl, id, change, pub.BaseRevision); err != nil {
 			return nil, err
@@ -204,6 +238,11 @@
 	if found == !change.Deleted && SameBody(old.Body, change.Body) {
 		return nil
 	}
+	if !found && base < pl.head.Revision {
+		if old, err = p.removal(ctx, pl, id, base); err != nil {
+			return err
+		}
+	}
 	if old.Version > base {
 		c := Conflict{Document: id, Winner: old.Author, AtMS: old.AtMS, Revision: old.Version}
 		pl.conflicts = append(pl.conflicts, c)
@@ -214,6 +253,35 @@
 	return nil
 }
 
+// removal returns the entry of the document's removal after base, which only the log shows;
+// without it, a document that another operator removed would come back unnoticed.
+func (p *Publisher) removal(ctx context.Context, pl *plan, id string, base int64) (Entry, error) {
+	if pl.removals != nil {
+		return pl.removals[id], nil
+	}
+	pl.removals = make(map[string]Entry)
+	oldest := max(base, pl.head.Revision-keptRevisions)
+	for revision := oldest + 1; revision <= pl.head.Revision; revision++ {
+		row, found, err := p.Row(ctx, logKey(revision))
+		if err != nil {
+			return Entry{}, errors.Wrap(err, "config: unable to read changes")
+		}
+		var changes []Change
+		if found {
+			err = json.Unmarshal(row.Value, &changes)
+		}
+		if err != nil {
+			return Entry{}, errors.Wrapf(err, "config: unable to decode changes of revision %d", revision)
+		}
+		for _, c := range changes {
+			if c.Deleted {
+				pl.removals[c.ID()] = c.Entry
+			}
+		}
+	}
+	return pl.removals[id], nil
+}
+
 func (pl *plan) commit() (table.Commit, error) {
 	revision := pl.head.Revision + 1
 	c := table.Commit{Checks: append(pl.checks, table.Check{Key: headKey, Version: pl.headVersion})}
--- a/pkg/config/schema.go
+++ b/pkg/config/schema.go
@@ -84,10 +84,23 @@
 		File:    file,
 		Field:   strings.Join(e.InstanceLocation, "."),
 		Value:   quoteAt(doc, e.InstanceLocation),
-		Allowed: e.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
+		Allowed: allowed(e.ErrorKind),
 	}}
 }
 
+// allowed writes bounds as plain numbers; the library's text is "got 1.048577×10⁰⁶".
+func allowed(e jsonschema.ErrorKind) string {
+	switch e := e.(type) {
+	case *kind.Minimum:
+		return "at least " + e.Want.RatString()
+	case *kind.Maximum:
+		return "at most " + e.Want.RatString()
+	case *kind.ExclusiveMinimum:
+		return "above " + e.Want.RatString()
+	}
+	return e.LocalizedString(message.NewPrinter(language.English))
+}
+
 func unknownFields(file string, doc any, at, names []string) []Fault {
 	var faults []Fault
 	for _, name := range names {
--- a/pkg/config/watch.go
+++ b/pkg/config/watch.go
@@ -1,9 +1,12 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,8 +71,12 @@
 	}
 }
 
-// Run follows the revisions until ctx ends.
+// Run follows the revisions until ctx ends. Notices have a goroutine of their own: a table that
+// does not answer takes the whole time limit of each poll.
 func (w *Watcher) Run(ctx context.Context) error {
+	var notices sync.WaitGroup
+	defer notices.Wait()
+	notices.Go(func() { w.followAll(ctx) })
 	tick := time.NewTicker(w.Poll)
 	defer tick.Stop()
 	for {
@@ -77,43 +84,69 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (w *Watcher) followAll(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
 		case n := <-w.notices:
 			w.follow(ctx, n)
-		case <-tick.C:
 		}
 	}
 }
 
 func (w *Watcher) follow(ctx context.Context, n notice) {
-	if n.revision <= w.Holder.Current().Revision {
+	after := w.Holder.Current().Revision
+	// A starting instance asks all peers, since this one may be behind the others.
+	if n.revision <= after || !w.Holder.Ready() {
 		return
 	}
-	w.fetch(ctx, n.address)
+	if page, err := w.fetch(ctx, n.address, after); err == nil {
+		w.Holder.Apply(page)
+	}
 }
 
 func (w *Watcher) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*w.Poll)
+	bounded, cancel := context.WithTimeout(ctx, 2*w.Poll)
 	defer cancel()
-	if err := w.pollTable(ctx); err == nil || w.Holder.Ready() {
+	if err := w.pollTable(bounded); err == nil || w.Holder.Ready() {
 		return
 	}
-	// Without the table a starting instance takes the newest revision that a
-	// reachable peer holds; Apply refuses the older ones.
-	for _, address := range w.Peers() {
-		w.fetch(ctx, address)
-	}
+	w.start(ctx)
 }
 
-func (w *Watcher) fetch(ctx context.Context, address string) {
-	after := w.Holder.Current().Revision
-	if !w.Holder.Ready() {
-		after = -1
+// start takes the newest revision that a reachable peer holds. It asks all peers at the same
+// time, so that a silent one delays the others by one time limit at most.
+func (w *Watcher) start(ctx context.Context) {
+	addresses := w.Peers()
+	pages := make([]Page, len(addresses))
+	var calls sync.WaitGroup
+	for i, address := range addresses {
+		calls.Go(func() {
+			if page, err := w.fetch(ctx, address, -1); err == nil {
+				pages[i] = page
+			}
+		})
 	}
-	if page, err := w.Fetch(ctx, address, after); err == nil {
-		w.Holder.Apply(page)
+	calls.Wait()
+	slices.SortFunc(pages, func(a, b Page) int { return cmp.Compare(b.Revision, a.Revision) })
+	for _, page := range pages {
+		w.Holder.Apply(page) // refuses the pages after the newest
 	}
 }
 
+// fetch asks one peer, within a time limit of its own.
+func (w *Watcher) fetch(ctx context.Context, address string, after int64) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*w.Poll)
+	defer cancel()
+	return w.Fetch(ctx, address, after)
+}
+
 func (w *Watcher) pollTable(ctx context.Context) error {
 	head, _, err := readHead(ctx, w.Row)
 	if err != nil {
