--- a/internal/entry/translate.go
+++ b/internal/entry/translate.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"time"
 
+	"github.com/daisyrack/daisyrack/internal/front"
 	"github.com/daisyrack/daisyrack/internal/sched"
 	"github.com/daisyrack/daisyrack/pkg/config"
 	"github.com/daisyrack/daisyrack/pkg/event"
 	"github.com/daisyrack/daisyrack/pkg/lease"
 	"github.com/daisyrack/daisyrack/pkg/member"
-	"github.com/daisyrack/daisyrack/pkg/queue"
 	"github.com/daisyrack/daisyrack/pkg/route"
 	"github.com/daisyrack/daisyrack/pkg/wire"
 )
@@ -149,6 +149,7 @@
 	return fmt.Sprintf("%s epoch %d", l.FailureDomain, l.Epoch)
 }
 
-func requestLimits(s *config.Snapshot) queue.Limits {
-	return sched.QueueLimits(s.Limits[config.LimitsRequests].WithDefaults(), 0)
+func requestLimits(s *config.Snapshot) front.Limits {
+	l := s.Limits[config.LimitsRequests].WithDefaults()
+	return front.Limits{Queue: sched.QueueLimits(l, 0), Headroom: l.Headroom()}
 }
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -22,13 +22,23 @@
 	// expireInterval is how often waiting requests are checked for their deadline.
 	expireInterval = 10 * time.Millisecond
 
+	// surveyInterval is how often capacity and counts are brought up to date.
+	surveyInterval = 250 * time.Millisecond
+
 	ringRetryAfter = time.Second
 )
 
+// Limits are the limits of the queue and the part of its capacity, in percent,
+// that is kept free for urgent requests.
+type Limits struct {
+	Queue    queue.Limits
+	Headroom int
+}
+
 // Dispatcher decides which waiting request runs next; set the exported fields before Run.
 type Dispatcher struct {
 	Router *route.Router
-	Limits queue.Limits
+	Limits Limits
 	Now    func() time.Time
 
 	queue    queue.Queue
@@ -36,21 +46,28 @@
 	returns  chan *ticket
 	leavers  chan *ticket
 	finished chan *ticket
-	limits   chan queue.Limits
-	ready    []*ticket
-	claiming int
+	limits   chan Limits
+	current  Limits
+	surveyed time.Time
+	// configured is set while the queue has the current limits, with kept as
+	// headroom.
+	configured bool
+	kept       int64
+	ready      []*ticket
+	claiming   int
 
 	stats atomic.Pointer[queue.Stats]
 }
 
 // Init prepares the dispatcher for requests that arrive before Run.
 func (d *Dispatcher) Init() {
-	d.queue.Limits = d.Limits
+	d.queue.Limits = d.Limits.Queue
+	d.current = d.Limits
 	d.arrivals = make(chan *ticket, maxArrivals)
 	d.returns = make(chan *ticket, maxClaiming)
 	d.leavers = make(chan *ticket, maxArrivals)
 	d.finished = make(chan *ticket, maxArrivals)
-	d.limits = make(chan queue.Limits, 1)
+	d.limits = make(chan Limits, 1)
 }
 
 // Stats returns the newest counts of the queue.
@@ -62,7 +79,7 @@
 }
 
 // Reconfigure puts new limits in force.
-func (d *Dispatcher) Reconfigure(l queue.Limits) {
+func (d *Dispatcher) Reconfigure(l Limits) {
 	select {
 	case <-d.limits: // Limits that were not taken up have no meaning any more.
 	default:
@@ -89,7 +106,9 @@
 			d.endClaim(k)
 			d.queue.Done(k.item.Team, k.item.Class, k.item.Cost)
 		case l := <-d.limits:
-			d.queue.Reconfigure(l)
+			d.current = l
+			d.configured = false
+			d.survey()
 		case <-d.Router.Freed():
 		case <-tick.C:
 			d.expire()
@@ -98,6 +117,15 @@
 	}
 }
 
+// headroom returns the slots kept free for urgent requests, at least one when
+// any are asked for.
+func (d *Dispatcher) headroom(slots int) int64 {
+	if d.current.Headroom == 0 || slots == 0 {
+		return 0
+	}
+	return int64(max(1, slots*d.current.Headroom/100))
+}
+
 // offer hands a request to the dispatcher; false means that its ring is full.
 func (d *Dispatcher) offer(k *ticket) bool {
 	select {
@@ -144,6 +172,26 @@
 		k.turns <- expired()
 	}
 	d.ready = kept
+	if now.Sub(d.surveyed) >= surveyInterval {
+		d.surveyed = now
+		d.survey()
+	}
+}
+
+// survey brings the capacity of the queue and the published counts up to date.
+func (d *Dispatcher) survey() {
+	slots := 0
+	for _, s := range d.Router.Snapshot() {
+		slots += s.Base + s.Granted
+	}
+	d.queue.Capacity = int64(slots)
+	if headroom := d.headroom(slots); headroom != d.kept || !d.configured {
+		limits := d.current.Queue
+		limits.Class[queue.Urgent].Headroom = headroom
+		d.queue.Reconfigure(limits)
+		d.kept = headroom
+		d.configured = true
+	}
 	stats := d.queue.Stats()
 	d.stats.Store(&stats)
 }
--- a/internal/sched/reconcile.go
+++ b/internal/sched/reconcile.go
@@ -26,9 +26,10 @@
 	if !t.owner.Config.Ready() {
 		return
 	}
-	if snapshot.Revision != t.revision {
+	if capacity := t.capacity(); snapshot.Revision != t.revision || capacity != t.queue.Capacity {
 		t.revision = snapshot.Revision
-		t.queue.Reconfigure(jobLimits(snapshot))
+		t.queue.Capacity = capacity
+		t.queue.Reconfigure(jobLimits(snapshot, capacity))
 	}
 	for name, j := range snapshot.Jobs {
 		version := snapshot.Entries["job/"+name].Version
@@ -173,8 +174,23 @@
 // jobLimits returns the limits of the queue of tasks. Its bounds are above any
 // window of queued tasks, since an accepted job is never dropped; overBound
 // refuses new jobs.
-func jobLimits(s *config.Snapshot) queue.Limits {
-	return QueueLimits(s.Limits[config.LimitsJobs].WithDefaults(), queuedTasks)
+func jobLimits(s *config.Snapshot, capacity int64) queue.Limits {
+	l := s.Limits[config.LimitsJobs].WithDefaults()
+	l.Name = config.LimitsJobs
+	limits := QueueLimits(l, queuedTasks)
+	limits.Class[queue.Urgent].Headroom = capacity * int64(l.Headroom()) / 100
+	return limits
+}
+
+// capacity returns the processor time of all usable workers, in thousandths of a core.
+func (t *term) capacity() int64 {
+	var sum int64
+	for _, w := range t.workers {
+		if !w.gone && !w.cordoned {
+			sum += w.capacity.CPUMillis
+		}
+	}
+	return sum
 }
 
 // queuedTasks bounds the queued tasks of all jobs.
--- a/internal/sched/term.go
+++ b/internal/sched/term.go
@@ -98,7 +98,7 @@
 	// Unused capacity of a worker belongs to whoever uses it; tasks are only
 	// stopped when the worker itself is short.
 	t.cell.BurstToCapacity = true
-	t.queue.Limits = jobLimits(o.Config.Current())
+	t.queue.Limits = jobLimits(o.Config.Current(), 0)
 	o.stats.Terms.Add(1)
 	return t
 }
--- a/pkg/config/limits.go
+++ b/pkg/config/limits.go
@@ -12,8 +12,15 @@
 const (
 	defaultMaxWaiting    = 10_000
 	defaultAgeingSeconds = 600
+
+	// defaultHeadroom keeps a few slots free for urgent requests, in percent of
+	// the slots: without it urgent work waits for a slot to end under a flood of
+	// deferrable work (docs/admission.md).
+	defaultHeadroom = 6
 )
 
+var defaultClassShares = map[string]int{"urgent": 6, "normal": 3, "deferrable": 1}
+
 // TeamLimits are the share and the quota of one team.
 type TeamLimits struct {
 	Weight int   `json:"weight,omitempty"`
@@ -30,6 +37,7 @@
 	ClassShares        map[string]int        `json:"class_shares,omitempty"`
 	Teams              map[string]TeamLimits `json:"teams,omitempty"`
 	AgeingSeconds      int64                 `json:"ageing_seconds,omitempty"`
+	UrgentHeadroom     *int                  `json:"urgent_headroom_percent,omitempty"`
 }
 
 // WithDefaults returns the limits with their missing fields filled in.
@@ -46,5 +54,22 @@
 	if l.AgeingSeconds == 0 {
 		l.AgeingSeconds = defaultAgeingSeconds
 	}
+	if l.ClassShares == nil {
+		l.ClassShares = defaultClassShares
+	}
 	return l
 }
+
+// Headroom returns the part of the capacity that less urgent work leaves free,
+// in percent; by default only requests have one, since the slots of backend
+// servers cost nothing while they are free.
+func (l Limits) Headroom() int {
+	switch {
+	case l.UrgentHeadroom != nil:
+		return *l.UrgentHeadroom
+	case l.Name == LimitsJobs:
+		return 0
+	default:
+		return defaultHeadroom
+	}
+}
