place: read causes of idle hardware back from JSON

Cause: causes were written as phrases and could not be read, so the status of a failure domain's owner counted as unreachable on every other instance. Conclusion: types that are written as text need both directions tested.

--- a/cmd/daisyrack/path_test.go
+++ b/cmd/daisyrack/path_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,9 @@
 	})
 	t.Logf("takeover after %s", took)
 	s.judge(stop())
+	out, status = s.command("timeline", "--entry", s.entries[0].url(), "--instance", victim, "--job", "monitor")
+	assert.Equal(t, status, 0, out)
+	assert.Assert(t, strings.Contains(out, "task_started"), "the dead instance's events must have been kept by a peer: %s", out)
 }
 
 // Guards against a graceful shutdown that cuts off requests in progress or
--- a/pkg/place/report.go
+++ b/pkg/place/report.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Cause is a reason why hardware is idle.
@@ -43,6 +45,16 @@
 	return []byte(c.String()), nil
 }
 
+// UnmarshalText sets the value from a phrase; a phrase that no cause has is an error.
+func (c *Cause) UnmarshalText(text []byte) error {
+	i := slices.Index(causeNames[:], string(text))
+	if i < 0 {
+		return errors.Newf("place: unknown cause %q", text)
+	}
+	*c = Cause(i)
+	return nil
+}
+
 // Idle is an amount of idle capacity with its cause.
 type Idle struct {
 	Cause  Cause     `json:"cause"`
--- /dev/null
+++ b/pkg/place/report_test.go
@@ -0,0 +1,21 @@
+package place_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/pkg/place"
+)
+
+// Guards against a report that one instance sends and another can not read.
+func TestReportSurvivesJSON(t *testing.T) {
+	c := cellOf(2, place.Resources{CPUMillis: 1000, MemoryMB: 1000})
+	c.Cordon("w0000", true)
+	text, err := json.Marshal(c.Capacity())
+	assert.NilError(t, err)
+	var back place.Report
+	assert.NilError(t, json.Unmarshal(text, &back))
+	assert.DeepEqual(t, back, c.Capacity())
+}
