--- a/cmd/daisyrack/path_test.go
+++ b/cmd/daisyrack/path_test.go
@@ -56,7 +56,7 @@
 		if e.name == victim {
 			e.signal(syscall.SIGTERM)
 			<-e.ended
-			assert.Equal(t, e.cmd.ProcessState.ExitCode(), 0, e.log.String())
+			assert.Equal(t, e.cmd.ProcessState.ExitCode(), 0, e.logged())
 		}
 	}
 	took := until("handover", t, func() bool { return s.owners(s.entries[0])["c"] != "" && s.owners(s.entries[0])["c"] != victim })
--- a/cmd/daisyrack/process_test.go
+++ b/cmd/daisyrack/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,7 +34,7 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "daisyrack")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-race", "-o", program, ".").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	status := m.Run()
@@ -49,7 +48,7 @@
 	name   string
 	cmd    *exec.Cmd
 	values map[string]string
-	log    bytes.Buffer
+	log    string
 	ended  chan struct{}
 }
 
@@ -77,7 +76,11 @@
 	s.t.Helper()
 	p := &process{t: s.t, name: name, values: map[string]string{}, ended: make(chan struct{})}
 	p.cmd = exec.Command(program, append(args, "--settings", s.file(name, settings))...)
-	p.cmd.Stderr = &p.log
+	p.log = filepath.Join(s.dir, name+".log")
+	log, err := os.Create(p.log)
+	assert.NilError(s.t, err)
+	defer func() { _ = log.Close() }()
+	p.cmd.Stderr = log
 	out, err := p.cmd.StdoutPipe()
 	assert.NilError(s.t, err)
 	assert.NilError(s.t, p.cmd.Start())
@@ -85,7 +88,7 @@
 	first := make(chan string, 1)
 	go p.follow(out, first)
 	line := <-first
-	assert.Assert(s.t, line != "", "%s: %s", name, p.log.String())
+	assert.Assert(s.t, line != "", "%s: %s", name, p.logged())
 	for _, pair := range strings.Fields(line) {
 		key, value, _ := strings.Cut(pair, "=")
 		p.values[key] = value
@@ -93,6 +96,13 @@
 	return p
 }
 
+// logged returns what the process has written to its log.
+func (p *process) logged() string {
+	text, err := os.ReadFile(p.log)
+	assert.NilError(p.t, err)
+	return string(text)
+}
+
 // follow hands over the first line of the output and waits for the end.
 func (p *process) follow(out io.Reader, first chan<- string) {
 	r := bufio.NewReader(out)
