--- a/internal/setup/entry.go
+++ b/internal/setup/entry.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/pkg/config"
@@ -75,15 +76,15 @@
 
 // faults finds what the schema can not express.
 func (e Entry) faults(file string) []config.Fault {
-	for _, d := range e.FailureDomains {
-		if d == e.FailureDomain {
-			return nil
-		}
+	faults := addressFault(file, "http_address", e.HTTPAddress)
+	faults = append(faults, addressFault(file, "peer_address", e.PeerAddress)...)
+	if !slices.Contains(e.FailureDomains, e.FailureDomain) {
+		faults = append(faults, config.Fault{
+			File:    file,
+			Field:   "failure_domain",
+			Value:   e.FailureDomain,
+			Allowed: "one of failure_domains",
+		})
 	}
-	return []config.Fault{{
-		File:    file,
-		Field:   "failure_domain",
-		Value:   e.FailureDomain,
-		Allowed: "one of failure_domains",
-	}}
+	return faults
 }
--- a/internal/setup/load.go
+++ b/internal/setup/load.go
@@ -3,6 +3,7 @@
 import (
 	"embed"
 	"encoding/json"
+	"net/netip"
 	"os"
 	"slices"
 
@@ -58,5 +59,17 @@
 	if faults := checker.Check(file, text); len(faults) > 0 {
 		return faults, nil
 	}
-	return nil, errors.Wrap(json.Unmarshal(text, v), "setup: unable to decode settings")
+	if err := json.Unmarshal(text, v); err != nil {
+		return []config.Fault{config.DecodeFault(file, err)}, nil
+	}
+	return nil, nil
+}
+
+// addressFault finds addresses that the schema's pattern allows but that do not exist, such as
+// 127.0.0.256:1.
+func addressFault(file, field, address string) []config.Fault {
+	if _, err := netip.ParseAddrPort(address); err == nil {
+		return nil
+	}
+	return []config.Fault{{File: file, Field: field, Value: address, Allowed: "IP:PORT with a port up to 65535"}}
 }
--- a/internal/setup/standin.go
+++ b/internal/setup/standin.go
@@ -37,6 +37,9 @@
 func LoadPlatform(file string) (Platform, []config.Fault, error) {
 	var p Platform
 	faults, err := load(KindPlatform, file, &p)
+	if err == nil && len(faults) == 0 {
+		faults = addressFault(file, "address", p.Address)
+	}
 	return p, faults, err
 }
 
@@ -44,6 +47,9 @@
 func LoadWorker(file string) (Worker, []config.Fault, error) {
 	var w Worker
 	faults, err := load(KindWorker, file, &w)
+	if err == nil && len(faults) == 0 {
+		faults = addressFault(file, "address", w.Address)
+	}
 	return w, faults, err
 }
 
@@ -51,5 +57,8 @@
 func LoadBackend(file string) (Backend, []config.Fault, error) {
 	var b Backend
 	faults, err := load(KindBackend, file, &b)
+	if err == nil && len(faults) == 0 {
+		faults = addressFault(file, "address", b.Address)
+	}
 	return b, faults, err
 }
