Time waiting by class, and answer non-idempotent requests before they are recorded

Cause: a caller of a non-idempotent request waited for two transactions, the claim and the record of its answer. Change: the answer goes to the caller while it is recorded; shutdown waits for the records.

--- a/cmd/daisyrack/entry.go
+++ b/cmd/daisyrack/entry.go
@@ -55,14 +55,22 @@
 	return &statusError{status: exitFaulty, text: fmt.Sprintf("%d faults found", len(faults))}
 }
 
-func runEntry(ctx context.Context, cmd *cli.Command) error {
-	settings, faults, err := setup.LoadEntry(cmd.String("settings"))
+// settingsError returns the error for settings that can not be read or are faulty.
+func settingsError(faults []config.Fault, err error) error {
 	if err != nil {
 		return &statusError{status: exitFaulty, text: err.Error()}
 	}
 	if len(faults) > 0 {
 		return faulty(faults)
 	}
+	return nil
+}
+
+func runEntry(ctx context.Context, cmd *cli.Command) error {
+	settings, faults, err := setup.LoadEntry(cmd.String("settings"))
+	if err := settingsError(faults, err); err != nil {
+		return err
+	}
 	app, err := entry.New(settings, newLogger(settings.LogLevel))
 	if err != nil {
 		return err
--- a/cmd/daisyrack/standin.go
+++ b/cmd/daisyrack/standin.go
@@ -51,11 +51,8 @@
 
 func runPlatform(ctx context.Context, cmd *cli.Command) error {
 	settings, faults, err := setup.LoadPlatform(cmd.String("settings"))
-	if err != nil {
-		return &statusError{status: exitFaulty, text: err.Error()}
-	}
-	if len(faults) > 0 {
-		return faulty(faults)
+	if err := settingsError(faults, err); err != nil {
+		return err
 	}
 	p := &plat.Server{WritesPerSecond: settings.WritesPerSecond, ReadsPerSecond: settings.ReadsPerSecond}
 	p.SetFaults(plat.Faults{ListLagMs: settings.ListLagMS})
@@ -68,11 +65,8 @@
 
 func runWorker(ctx context.Context, cmd *cli.Command) error {
 	settings, faults, err := setup.LoadWorker(cmd.String("settings"))
-	if err != nil {
-		return &statusError{status: exitFaulty, text: err.Error()}
-	}
-	if len(faults) > 0 {
-		return faulty(faults)
+	if err := settingsError(faults, err); err != nil {
+		return err
 	}
 	l, err := listen(settings.Address)
 	if err != nil {
@@ -97,11 +91,8 @@
 
 func runBackend(ctx context.Context, cmd *cli.Command) error {
 	settings, faults, err := setup.LoadBackend(cmd.String("settings"))
-	if err != nil {
-		return &statusError{status: exitFaulty, text: err.Error()}
-	}
-	if len(faults) > 0 {
-		return faulty(faults)
+	if err := settingsError(faults, err); err != nil {
+		return err
 	}
 	l, err := listen(settings.Address)
 	if err != nil {
--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -131,7 +131,7 @@
 			defer cancel()
 			err := server.Shutdown(ctx)
 			_ = n.Router.Drain(ctx)
-			n.Once.Drain(ctx)
+			n.Front.Drain(ctx)
 			return errors.Wrap(err, "entry: requests in progress did not finish")
 		},
 	})
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,10 +7,20 @@
 	"regexp"
 	"strings"
 	"sync/atomic"
+	"time"
+
+	"github.com/daisyrack/daisyrack/pkg/queue"
 )
 
 var wordStart = regexp.MustCompile(`([a-z0-9])([A-Z])`)
 
+// waited returns a function that adds to the histogram of waiting times by class.
+func (n *Node) waited(name string) func(class string, d time.Duration) {
+	return func(class string, d time.Duration) {
+		n.metrics.GetOrCreateHistogram(fmt.Sprintf("%s{class=%q}", name, class)).Update(d.Seconds())
+	}
+}
+
 // writeMetrics writes the counters of all parts in the text format of the metrics page.
 func (n *Node) writeMetrics(w io.Writer) {
 	writeCounters(w, "daisyrack_requests", n.Front.Counters())
@@ -27,6 +37,7 @@
 	writeGauge(w, "daisyrack_owned_epoch", n.Owner.Epoch())
 	writeGauge(w, "daisyrack_events_dropped_total", int64(n.Ring.Dropped()))
 	n.writeQueue(w)
+	n.metrics.WritePrometheus(w)
 }
 
 // writeCounters writes the numeric fields of a struct of counters.
@@ -74,6 +85,6 @@
 func (n *Node) writeQueue(w io.Writer) {
 	stats := n.Queue.Stats()
 	for class, counts := range stats.Class {
-		_, _ = fmt.Fprintf(w, "daisyrack_queue_waiting{class=%q} %d\n", fmt.Sprint(class), counts.Waiting)
+		_, _ = fmt.Fprintf(w, "daisyrack_queue_waiting{class=%q} %d\n", queue.Class(class), counts.Waiting)
 	}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/daisyrack/daisyrack/internal/agent"
@@ -47,6 +48,7 @@
 	members  *members
 	lender   *lender
 	store    *storeState
+	metrics  *metrics.Set
 	list     atomic.Pointer[table.InstanceList]
 	draining atomic.Bool
 
@@ -68,6 +70,7 @@
 		Incarnation: now.UnixMicro(),
 		started:     now,
 		Log:         logger.WithField("instance", settings.Name),
+		metrics:     metrics.NewSet(),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -202,6 +205,7 @@
 		Config:         n.Config,
 		Workers:        &agent.Client{HTTP: &http.Client{Transport: workerTransport()}},
 		Record:         n.record,
+		Waited:         n.waited("daisyrack_task_wait_seconds"),
 		Log:            n.Log,
 		Now:            time.Now,
 	}
@@ -255,6 +259,7 @@
 		Status:      n.status,
 		Events:      n.events,
 		Metrics:     n.writeMetrics,
+		Waited:      n.waited("daisyrack_request_wait_seconds"),
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,8 +40,12 @@
 	Events  func(ctx context.Context, f event.Filter) []event.Event
 	Metrics func(w MetricsWriter)
 
-	counters Counters
-	sequence atomic.Int64
+	// Waited notes how long a request of a class waited for its turn.
+	Waited func(class string, d time.Duration)
+
+	counters  Counters
+	sequence  atomic.Int64
+	recording sync.WaitGroup
 }
 
 // Counters count the requests by their outcome.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -186,6 +186,7 @@
 		return refused(http.StatusServiceUnavailable, "too many requests are arriving", ringRetryAfter)
 	}
 	t := f.wait(ctx, k.ticket)
+	f.Waited(k.ticket.request.Class, f.Now().Sub(k.ticket.item.Enqueued))
 	if t.kind == turnRefused {
 		return refused(t.status, t.reason, t.retryAfter)
 	}
@@ -292,15 +293,31 @@
 	case route.Unknown:
 		f.Once.Abandon(claim)
 	default:
-		f.Once.Finish(context.Background(), claim, once.Answer{
-			Status:      out.status,
-			Body:        answer.Body,
-			ContentType: answer.ContentType,
-		})
+		f.finish(claim, once.Answer{Status: out.status, Body: answer.Body, ContentType: answer.ContentType})
 	}
 	return out
 }
 
+// finish records an answer without keeping the caller waiting for the commit. If
+// the instance dies before, a repeat gets "unknown" and does not run again.
+func (f *Front) finish(claim once.Claim, answer once.Answer) {
+	f.recording.Go(func() { f.Once.Finish(context.Background(), claim, answer) })
+}
+
+// Drain waits until the answers of non-idempotent requests are recorded.
+func (f *Front) Drain(ctx context.Context) {
+	recorded := make(chan struct{})
+	go func() {
+		f.recording.Wait()
+		close(recorded)
+	}()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+	}
+	f.Once.Drain(ctx)
+}
+
 // withdraw gives a claim back although the request's deadline may have passed.
 func (f *Front) withdraw(claim once.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -68,12 +68,13 @@
 		document(`{"kind":"route","name":"small","max_body_bytes":4}`),
 		document(`{"kind":"route","name":"once","non_idempotent":true,"deadline_ms":3600000}`),
 	}})
-	dispatcher := &front.Dispatcher{Router: router, Limits: limits, Now: r.now}
+	dispatcher := &front.Dispatcher{Router: router, Limits: front.Limits{Queue: limits}, Now: r.now}
 	dispatcher.Init()
 	group, register := r.register("e1")
 	r.front = &front.Front{
 		Name: "e1", Config: holder, Dispatcher: dispatcher, Router: router, Once: register, Now: r.now,
 		Record: func(event.Event) {},
+		Waited: func(string, time.Duration) {},
 		Ready:  func() string { return *r.notReady.Load() },
 		Token:  func() (string, error) { return "", nil },
 	}
@@ -85,6 +86,7 @@
 	wg.Go(func() { _ = dispatcher.Run(ctx) })
 	wg.Go(func() { _ = group.Run(ctx) })
 	t.Cleanup(func() {
+		r.front.Drain(context.Background())
 		cancel()
 		_ = server.Close()
 		wg.Wait()
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -38,6 +38,9 @@
 	Size Size
 	Log  log.Interface
 
+	// Routes are the service times of the backend servers; nil means those of the trial.
+	Routes map[string]back.ServiceTime
+
 	Platform *plat.Server
 	Workers  []*work.Server
 	Backends []*back.Server
@@ -66,6 +69,9 @@
 
 // Start starts the stand-ins, then the entry instances.
 func (r *Rack) Start(ctx context.Context) error {
+	if r.Routes == nil {
+		r.Routes = serviceTimes()
+	}
 	r.Platform = &plat.Server{}
 	platform, stop := context.WithCancel(ctx)
 	r.stopPlatform = stop
@@ -149,7 +155,7 @@
 		FailureDomain: domain,
 		Seed:          uint64(i),
 		Platform:      r.url,
-		Routes:        serviceTimes(),
+		Routes:        r.Routes,
 	}
 	r.Backends = append(r.Backends, b)
 	r.wg.Go(func() { r.report(b.Serve(ctx, l)) })
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -42,8 +42,12 @@
 	Config  *config.Holder
 	Workers *agent.Client
 	Record  func(event.Event)
-	Log     log.Interface
-	Now     func() time.Time
+
+	// Waited notes how long a task of a class waited for its start.
+	Waited func(class string, d time.Duration)
+
+	Log log.Interface
+	Now func() time.Time
 
 	gains chan lease.Lease
 	stats Counters
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -287,6 +287,7 @@
 		Config:         r.config,
 		Workers:        &agent.Client{HTTP: client},
 		Record:         func(e event.Event) { e.Instance = name; r.events.Add(e) },
+		Waited:         func(string, time.Duration) {},
 		Log:            &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		Now:            time.Now,
 	}
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -155,6 +155,7 @@
 	tk.started = now
 	tk.maybeSent = false
 	t.owner.stats.TasksStarted.Add(1)
+	t.owner.Waited(tk.job.record.Job.Class, now.Sub(tk.item.Enqueued))
 	t.emit(event.Event{
 		Kind:       event.TaskStarted,
 		Task:       tk.id,
