front: test expiry between claim and slot; bound a lost slot's test

Cause: the withdrawal of a claim whose request is refused before it gets a slot was not covered, and a slot lost with its caller made the tests hang instead of fail.

Change: one test holds the commit of a claim back while other requests take all slots, then lets the deadline pass. Callers that go at any moment now give a deadline, so that a lost slot fails the check of the free slots.

Seen to fail with the mechanism removed: this withdrawal, and the return of a slot whose caller had gone.

Conclusion: no fault was found in the code.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -137,7 +137,7 @@
 		if i%3 == 0 {
 			path, key = "once", string(rune('a'+i%20))
 		}
-		wg.Go(func() { r.post(ctx, path, "x", front.HeaderKey, key) })
+		wg.Go(func() { r.post(ctx, path, "x", front.HeaderKey, key, front.HeaderDeadline, "5000") })
 	}
 	wg.Wait()
 	r.idle()
@@ -236,3 +236,34 @@
 	token, tokenErr = "", nil
 	assert.Equal(t, call("DELETE", "/v1/jobs/j", "", ""), http.StatusOK)
 }
+
+// Guards against a key that stays taken by a request that was refused between its claim and its slot.
+func TestClaimedRequestExpiresWithoutSlot(t *testing.T) {
+	r := newRig(t, queue.Limits{})
+	claiming, goOn := make(chan struct{}), make(chan struct{})
+	var first sync.Once
+	r.store.SetFault(func(call fake.Call) fake.Fault {
+		if call.Write() {
+			first.Do(func() { close(claiming) })
+			<-goOn
+		}
+		return fake.Fault{}
+	})
+	late := r.send(t.Context(), "once", "x", front.HeaderDeadline, "60000", front.HeaderKey, "k")
+	<-claiming
+	running := r.fill("r")
+	close(goOn)
+	claimed := func() bool {
+		_, ok := r.store.Get("once/u/k")
+		return ok
+	}
+	r.eventually("no claim", claimed)
+	r.ahead.Store(int64(2 * time.Minute))
+	check(t, r.answerOf(late), http.StatusServiceUnavailable, route.Refused)
+	assert.Assert(t, !claimed(), "the key of a refused request stays taken")
+	r.open()
+	for _, p := range running {
+		check(t, r.answerOf(p), http.StatusOK, route.Answered)
+	}
+	r.idle()
+}
