--- a/internal/sched/owner_test.go
+++ b/internal/sched/owner_test.go
@@ -15,7 +15,7 @@
 	"github.com/daisyrack/daisyrack/pkg/config"
 )
 
-func mustJSON(t *testing.T, v any) []byte {
+func mustJSON(t testing.TB, v any) []byte {
 	t.Helper()
 	text, err := json.Marshal(v)
 	assert.NilError(t, err)
