--- a/internal/sched/slope_test.go
+++ b/internal/sched/slope_test.go
@@ -242,7 +242,6 @@
 				with := heapBytes()
 				runtime.KeepAlive(o)
 				stop()
-				o = nil
 				f.transport.CloseIdleConnections()
 				held := with - heapBytes()
 				b.ReportMetric(held/1e6, "heap-MB")
@@ -253,8 +252,10 @@
 	}
 }
 
-// seed writes the records of ended jobs as an earlier owner has left them.
-func (f *fleet) seed(jobs int) {
+// seed writes the records of ended jobs as an earlier owner has left them, and
+// returns the bytes of their keys and values.
+func (f *fleet) seed(jobs int) int {
+	written := 0
 	for from := 0; from < jobs; from += 100 {
 		c := table.Commit{}
 		for i := from; i < min(from+100, jobs); i++ {
@@ -266,10 +267,13 @@
 				AcceptedMS: time.Now().UnixMilli(),
 				EndedMS:    time.Now().UnixMilli(),
 			}
-			c.Puts = append(c.Puts, table.Put{Key: "job/" + domain + "/" + r.Job.Name, Value: mustJSON(f.b, r)})
+			put := table.Put{Key: "job/" + domain + "/" + r.Job.Name, Value: mustJSON(f.b, r)}
+			written += len(put.Key) + len(put.Value)
+			c.Puts = append(c.Puts, put)
 		}
 		assert.Equal(f.b, f.db.Commit(context.Background(), c).Outcome, table.Committed)
 	}
+	return written
 }
 
 // BenchmarkRecoverySlope measures a new owner's time until all workers are
@@ -285,7 +289,8 @@
 				o, stop := f.start(1)
 				f.awaitRunning(o, 5*c.workers)
 				stop()
-				f.seed(c.jobs)
+				written := f.seed(c.jobs)
+				b.ReportMetric(float64(written)/float64(max(c.jobs, 1)), "B/row")
 				processor := processorTime(b)
 				o, stop = f.start(2)
 				f.wait("recovery", func() bool { return o.Counters().RecoveryMS.Load() > 0 })
@@ -295,7 +300,6 @@
 				with := heapBytes()
 				runtime.KeepAlive(o)
 				stop()
-				o = nil
 				b.ReportMetric((with-heapBytes())/1e6, "heap-MB")
 			}
 			b.ReportMetric(0, "ns/op")
@@ -353,3 +357,41 @@
 		assert.Equal(f.b, outcome, agent.Accepted, "%v", err)
 	}
 }
+
+// urgentJobs is the number of urgent jobs that are timed one after the other.
+const urgentJobs = 10
+
+// BenchmarkUrgentSlope measures the time from the submission of an urgent job
+// of one task until its worker has accepted the start, with room on the workers.
+func BenchmarkUrgentSlope(b *testing.B) {
+	for _, workers := range []int{16, 64, 222} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(b, workers)
+				f.publish(workers, 5)
+				o, stop := f.start(1)
+				f.awaitRunning(o, 5*workers)
+				f.timeUrgent(b, o)
+				stop()
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func (f *fleet) timeUrgent(b *testing.B, o *sched.Owner) {
+	var sum, slowest time.Duration
+	for i := range urgentJobs {
+		j := slopeJob(config.KindBatch, fmt.Sprintf("urgent-%d", i), 1)
+		j.Class = "urgent"
+		started, began := o.Counters().TasksStarted.Load(), time.Now()
+		reply := o.Submit(context.Background(), j, "example")
+		assert.Equal(b, reply.Outcome, sched.ReplyAccepted, reply.Reason)
+		f.wait("urgent start", func() bool { return o.Counters().TasksStarted.Load() > started })
+		took := time.Since(began)
+		sum += took
+		slowest = max(slowest, took)
+	}
+	b.ReportMetric(float64(sum.Milliseconds())/urgentJobs, "start-mean-ms")
+	b.ReportMetric(float64(slowest.Milliseconds()), "start-max-ms")
+}
