--- a/internal/entry/slope_test.go
+++ b/internal/entry/slope_test.go
@@ -150,3 +150,48 @@
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// keepAliveWindow covers several pings, one each second from both ends.
+const keepAliveWindow = 5 * time.Second
+
+// BenchmarkKeepAliveSlope measures connections of package peer that carry no
+// calls: bytes of both directions, and processor time of both ends together.
+func BenchmarkKeepAliveSlope(b *testing.B) {
+	for _, connections := range []int{6, 18, 54} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) {
+			for range b.N {
+				keepAlive(b, connections)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func keepAlive(b *testing.B, connections int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	plain := beat{}
+	server := &peer.Server{Handle: func(context.Context, *wire.Request) *wire.Response { return plain.response() }}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, l) }()
+	var carried atomic.Int64
+	for range connections {
+		// One client for each connection, since a client has one to each address.
+		client := &peer.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return countedConn{conn, &carried}, err
+		}}
+		defer client.Close()
+		_, outcome, err := client.Call(ctx, l.Addr().String(), plain.request())
+		assert.Equal(b, outcome, peer.Answered, "%v", err)
+	}
+	processor, before := processorTime(b), carried.Load()
+	time.Sleep(keepAliveWindow)
+	perSecond := keepAliveWindow.Seconds() * float64(connections)
+	b.ReportMetric(float64(carried.Load()-before)/perSecond, "B/connection/s")
+	b.ReportMetric(float64((processorTime(b)-processor).Microseconds())/perSecond, "cpu-us/connection/s")
+	cancel()
+	assert.NilError(b, <-ended)
+}
