--- a/cmd/daisyrack/path_test.go
+++ b/cmd/daisyrack/path_test.go
@@ -1,6 +1,8 @@
 package main_test
 
 import (
+	"context"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -8,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyrack/daisyrack/internal/rack"
 	"github.com/daisyrack/daisyrack/internal/sched"
 )
 
@@ -101,3 +104,38 @@
 	until("batch finished", t, func() bool { return s.jobState(watcher, "trials") == sched.JobFinished })
 	s.judge(stop())
 }
+
+// Guards against a failure domain that stops serving, or runs something twice,
+// because it is cut off from the platform.
+func TestCutOffFailureDomainGoesOn(t *testing.T) {
+	s := newSite(t, 1)
+	until("owners", t, func() bool { return len(s.owners(s.entries[0])) == 3 })
+	s.publishExamples()
+	until("services run", t, func() bool { return s.jobState(s.entries[0], "trials") == sched.JobFinished })
+	s.faults(s.platform, `{"cut_domains":["c"]}`)
+	l := &rack.Load{PerSecond: 50, URLs: []string{s.entries[2].url()}, Client: &http.Client{Timeout: 30 * time.Second}}
+	until("cut noticed", t, func() bool { return s.downAt("entry-c0") })
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	l.Run(ctx)
+	assert.Assert(t, l.Refused.Load() > 0, "non-idempotent requests must be refused")
+	out, status := s.command("submit", "--entry", s.entries[2].url(), s.file("late", map[string]any{
+		"kind": "batch", "name": "late", "user": "example", "tasks": 1, "failure_domains": []string{"c"},
+		"resources": map[string]int{"cpu_millis": 500, "memory_mb": 100},
+	}))
+	assert.Equal(t, status, 3, out)
+	s.faults(s.platform, `{}`)
+	until("reached again", t, func() bool { return !s.downAt("entry-c0") })
+	assert.Equal(t, s.owners(s.entries[0])["c"], "entry-c0")
+	s.judge(l)
+}
+
+// downAt tells whether an instance finds the platform down.
+func (s *site) downAt(name string) bool {
+	for _, i := range s.status(s.entries[2]).Instances {
+		if i.Name == name {
+			return i.StoreDown
+		}
+	}
+	return false
+}
--- a/cmd/daisyrack/status.go
+++ b/cmd/daisyrack/status.go
@@ -22,7 +22,8 @@
 		Usage:     "show instances, owners, jobs and workers",
 		UsageText: "daisyrack status --entry http://10.0.0.1:7070 [--capacity]",
 		Flags: clientFlags(
-			&cli.BoolFlag{Name: "capacity", Usage: "show what is idle and why"},
+			&cli.BoolFlag{Name: "capacity", Usage: "show what is idle, why, and what is missing"},
+			&cli.FloatFlag{Name: "core-hour", Usage: "price of an idle core in one hour, to show what idle hardware costs"},
 			&cli.BoolFlag{Name: "workers", Usage: "show every worker"},
 		),
 		Action: runStatus,
@@ -55,7 +56,7 @@
 	}
 	switch {
 	case cmd.Bool("capacity"):
-		return printCapacity(s)
+		return printCapacity(s, cmd.Float("core-hour"))
 	case cmd.Bool("workers"):
 		return printWorkers(s)
 	default:
@@ -127,16 +128,6 @@
 	return w.Flush()
 }
 
-func printCapacity(s entry.Status) error {
-	for _, o := range owners(s) {
-		fmt.Println("failure domain", o.FailureDomain)
-		if err := printJSON(o.Capacity); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func runJobStatus(ctx context.Context, cmd *cli.Command) error {
 	c, err := newClient(cmd)
 	if err != nil {
--- a/internal/sched/counters.go
+++ b/internal/sched/counters.go
@@ -24,6 +24,5 @@
 	FencedOut         atomic.Int64
 	Terms             atomic.Int64
 	RecoveryMS        atomic.Int64
-	ResultsDropped    atomic.Int64
 	OvercommitReports atomic.Int64
 }
