--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -43,7 +43,7 @@
 	Workers *agent.Client
 	Record  func(event.Event)
 
-	// Waited notes how long a task of a class waited for its start.
+	// Waited notes how long a task of a class waited for its start; nil means nobody asks.
 	Waited func(class string, d time.Duration)
 
 	Log log.Interface
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -155,7 +155,9 @@
 	tk.started = now
 	tk.maybeSent = false
 	t.owner.stats.TasksStarted.Add(1)
-	t.owner.Waited(tk.job.record.Job.Class, now.Sub(tk.item.Enqueued))
+	if t.owner.Waited != nil {
+		t.owner.Waited(tk.job.record.Job.Class, now.Sub(tk.item.Enqueued))
+	}
 	t.emit(event.Event{
 		Kind:       event.TaskStarted,
 		Task:       tk.id,
