--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -164,6 +164,9 @@
 	q.advance(now)
 	for {
 		c := q.choose(now)
+		if c == nil && q.expireBlocked(now) {
+			continue
+		}
 		if c == nil {
 			return Item{}, false
 		}
@@ -180,6 +183,25 @@
 	}
 }
 
+// expireBlocked moves expired items out of the order that are above their team's
+// quota; such an item would hide the ones behind it, which may fit the quota. It
+// reports whether there were any.
+func (q *Queue) expireBlocked(now time.Time) bool {
+	found := false
+	for _, t := range q.teams {
+		if t.limits.Quota <= 0 {
+			continue
+		}
+		for _, n := range t.nodes {
+			for n != nil && n.ready.front != nil && !n.eligible() && n.ready.front.item.expired(now) {
+				q.setLate(n.ready.front)
+				found = true
+			}
+		}
+	}
+	return found
+}
+
 // choose returns the class to serve: first classes that are owed service, then
 // all; within both by class after ageing, then by the oldest item. No service is
 // lent past a class that is owed some and waits for headroom, or a flood of the
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -82,3 +82,21 @@
 	_, ok = q.Next(start)
 	assert.Assert(t, ok)
 }
+
+// Guards against an expired item above its team's quota that hides the one behind it.
+func TestExpiredItemAboveTheQuotaHidesNothing(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	q := &queue.Queue{Limits: queue.Limits{Team: map[string]queue.TeamLimits{"a": {Quota: 4}}}}
+	items := []queue.Item{
+		{ID: "running", Team: "a", Cost: 3},
+		{ID: "large", Team: "a", Cost: 3, Deadline: now.Add(100 * time.Microsecond)},
+		{ID: "small", Team: "a", Cost: 1},
+	}
+	for _, it := range items {
+		assert.Assert(t, q.Push(now, it).Admitted())
+	}
+	first, ok := q.Next(now)
+	assert.Assert(t, ok && first.ID == "running")
+	second, ok := q.Next(now.Add(200 * time.Microsecond))
+	assert.Assert(t, ok && second.ID == "small", "got %q", second.ID)
+}
