--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,7 @@
 	Job     func(ctx context.Context, name string) sched.Reply
 	Status  func(ctx context.Context) any
 	Events  func(ctx context.Context, f event.Filter) []event.Event
-	Metrics func(w MetricsWriter)
+	Metrics func(w io.Writer)
 
 	// Waited notes how long a request of a class waited for its turn.
 	Waited func(class string, d time.Duration)
