entry: test mutual authentication between instances

Cause: TLS between entry instances had no test. Change: tests with authorities made in the test: trusted, missing and foreign certificates, renewed files, faulty files at the start. Measured: without the check of client certificates TestOnlyTrustedInstancesConnect fails ('certificate of another authority'); with it it passes. Conclusion: only instances with a certificate of the authority connect.

--- a/internal/entry/app.go
+++ b/internal/entry/app.go
@@ -69,7 +69,7 @@
 	server := &peer.Server{Handle: n.answer}
 	addDuty(lc, n, "group commit", n.Group.Run)
 	addDuty(lc, n, "peer server", func(ctx context.Context) error {
-		return server.Serve(ctx, n.security.listener(n.peerListener))
+		return server.Serve(ctx, n.security.Listener(n.peerListener))
 	})
 	addDuty(lc, n, "membership", n.runMembers)
 	addDuty(lc, n, "instance list", n.runList)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -8,7 +8,7 @@
 
 func (n *Node) listen() error {
 	var err error
-	if n.security, err = newSecurity(n.Settings.TLS); err != nil {
+	if n.security, err = NewSecurity(n.Settings.TLS); err != nil {
 		return err
 	}
 	n.httpListener, err = net.Listen("tcp", n.Settings.HTTPAddress)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -50,7 +50,7 @@
 }
 
 func (n *Node) buildMembers() {
-	n.Peers = &peer.Client{Dial: n.security.dial}
+	n.Peers = &peer.Client{Dial: n.security.Dial}
 	n.members = &members{node: n, beats: make(chan struct{}, maxBeats), states: make(map[string]string)}
 	n.members.view.Self = member.Member{
 		Name:          n.Settings.Name,
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -54,7 +54,7 @@
 
 	httpListener net.Listener
 	peerListener net.Listener
-	security     *security
+	security     *Security
 	started      time.Time
 }
 
--- a/internal/entry/security.go
+++ b/internal/entry/security.go
@@ -13,16 +13,16 @@
 	"github.com/daisyrack/daisyrack/internal/setup"
 )
 
-// security gives the connections between instances mutual authentication. The
+// Security gives the connections between instances mutual authentication. The
 // files are read for each handshake, so that new certificates need no restart;
 // handshakes are rare, since instances keep their connections.
-type security struct {
+type Security struct {
 	files *setup.TLS
 }
 
-// newSecurity checks the files once, so that a wrong setting is found at the start.
-func newSecurity(files *setup.TLS) (*security, error) {
-	s := &security{files: files}
+// NewSecurity checks the files once, so that a wrong setting is found at the start.
+func NewSecurity(files *setup.TLS) (*Security, error) {
+	s := &Security{files: files}
 	if files == nil {
 		return s, nil
 	}
@@ -30,7 +30,7 @@
 	return s, err
 }
 
-func (s *security) config() (*tls.Config, error) {
+func (s *Security) config() (*tls.Config, error) {
 	certificate, err := tls.LoadX509KeyPair(s.files.CertificateFile, s.files.KeyFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: unable to load certificate")
@@ -52,8 +52,8 @@
 	}, nil
 }
 
-// listener wraps l when certificates are set.
-func (s *security) listener(l net.Listener) net.Listener {
+// Listener wraps l when certificates are set.
+func (s *Security) Listener(l net.Listener) net.Listener {
 	if s.files == nil {
 		return l
 	}
@@ -65,8 +65,8 @@
 	})
 }
 
-// dial opens a connection to another instance.
-func (s *security) dial(ctx context.Context, address string) (net.Conn, error) {
+// Dial opens a connection to another instance.
+func (s *Security) Dial(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	if s.files == nil {
 		return d.DialContext(ctx, "tcp", address)
--- /dev/null
+++ b/internal/entry/security_test.go
@@ -0,0 +1,144 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/entry"
+	"github.com/daisyrack/daisyrack/internal/setup"
+)
+
+// authority issues the certificates of a test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key, a.cert = a.issue("authority", nil)
+	return a
+}
+
+func (a *authority) issue(name string, signer *authority) (*ecdsa.PrivateKey, *x509.Certificate) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage:     x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		IsCA:         signer == nil, BasicConstraintsValid: true,
+	}
+	parent, parentKey := template, key
+	if signer != nil {
+		parent, parentKey = signer.cert, signer.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	assert.NilError(a.t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(a.t, err)
+	return key, cert
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	assert.NilError(a.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+// files writes a certificate signed by signer, trusted by what a signs.
+func (a *authority) files(name string, signer *authority) *setup.TLS {
+	key, cert := a.issue(name, signer)
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(a.t, err)
+	return &setup.TLS{
+		CertificateFile: a.write(name+".crt", "CERTIFICATE", cert.Raw),
+		KeyFile:         a.write(name+".key", "PRIVATE KEY", der),
+		AuthorityFile:   a.write("authority.crt", "CERTIFICATE", a.cert.Raw),
+	}
+}
+
+// talk sends one byte from a client to a server and reports what came of it.
+func talk(t *testing.T, server, client *entry.Security) error {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := server.Listener(plain)
+	defer func() { _ = l.Close() }()
+	got := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, err = io.ReadFull(conn, make([]byte, 1))
+			_ = conn.Close()
+		}
+		got <- err
+	}()
+	conn, err := client.Dial(context.Background(), plain.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return err
+	}
+	_ = conn.(interface{ CloseWrite() error }).CloseWrite()
+	return <-got
+}
+
+func security(t *testing.T, files *setup.TLS) *entry.Security {
+	s, err := entry.NewSecurity(files)
+	assert.NilError(t, err)
+	return s
+}
+
+// Guards against connections from instances without a trusted certificate, and
+// against renewed certificates that need a restart.
+func TestOnlyTrustedInstancesConnect(t *testing.T) {
+	own, other := newAuthority(t), newAuthority(t)
+	server := security(t, own.files("server", own))
+	assert.NilError(t, talk(t, server, security(t, own.files("client", own))))
+	assert.Assert(t, talk(t, server, security(t, nil)) != nil, "without TLS")
+	stranger := own.files("stranger", other)
+	assert.Assert(t, talk(t, server, security(t, stranger)) != nil, "certificate of another authority")
+	client := security(t, stranger)
+	*stranger = *own.files("stranger", own)
+	assert.NilError(t, talk(t, server, client), "the renewed files must be used")
+}
+
+// Guards against an instance that starts with certificates that it can not use.
+func TestFaultyCertificatesAreFoundAtTheStart(t *testing.T) {
+	a := newAuthority(t)
+	good := a.files("good", a)
+	broken := filepath.Join(a.dir, "broken.pem")
+	assert.NilError(t, os.WriteFile(broken, []byte("not a certificate"), 0o600))
+	for _, files := range []setup.TLS{
+		{CertificateFile: broken, KeyFile: good.KeyFile, AuthorityFile: good.AuthorityFile},
+		{CertificateFile: good.CertificateFile, KeyFile: broken, AuthorityFile: good.AuthorityFile},
+		{CertificateFile: good.CertificateFile, KeyFile: good.KeyFile, AuthorityFile: broken},
+		{CertificateFile: "missing", KeyFile: good.KeyFile, AuthorityFile: good.AuthorityFile},
+	} {
+		_, err := entry.NewSecurity(&files)
+		assert.Assert(t, err != nil)
+	}
+}
