Strengthen the proof that a shutdown cuts off no request

Cause: with the connections closed at once instead of shut down, the test still passed, since its callers repeated the requests elsewhere. Change: four slow requests without repetition run while the owner drains; each must get its whole answer.

--- a/cmd/daisyrack/path_test.go
+++ b/cmd/daisyrack/path_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"syscall"
@@ -10,8 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyrack/daisyrack/internal/entry"
 	"github.com/daisyrack/daisyrack/internal/rack"
 	"github.com/daisyrack/daisyrack/internal/sched"
+	"github.com/daisyrack/daisyrack/pkg/queue"
 )
 
 // Guards the whole path as separate processes: documents, requests and jobs are
@@ -53,11 +57,16 @@
 	until("owners", t, func() bool { return len(s.owners(s.entries[0])) == 3 })
 	s.publishExamples()
 	stop := s.load()
-	time.Sleep(time.Second)
 	victim := s.owners(s.entries[0])["c"]
 	for _, e := range s.entries {
 		if e.name == victim {
+			s.faultsOfBackends(`{"slow_ms":1500}`)
+			inProgress := s.sendSlow(e, 4)
+			s.faultsOfBackends(`{}`)
 			e.signal(syscall.SIGTERM)
+			for range cap(inProgress) {
+				assert.NilError(t, <-inProgress, "a request in progress was cut off")
+			}
 			<-e.ended
 			assert.Equal(t, e.cmd.ProcessState.ExitCode(), 0, e.logged())
 		}
@@ -139,3 +148,53 @@
 	}
 	return false
 }
+
+func (s *site) faultsOfBackends(faults string) {
+	for _, b := range s.backends {
+		s.faults(b, faults)
+	}
+}
+
+// sendSlow sends requests to one instance, without repeating them, and returns
+// when as many run at the backend servers of its failure domain.
+func (s *site) sendSlow(e *process, n int) chan error {
+	answers := make(chan error, n)
+	for range n {
+		go func() {
+			req, err := http.NewRequest(http.MethodPost, e.url()+"/v1/requests/booking", strings.NewReader("x"))
+			if err == nil {
+				req.Header.Set("Daisyrack-User", "slow")
+				req.GetBody = nil
+				err = answered(req)
+			}
+			answers <- err
+		}()
+	}
+	until("requests run", s.t, func() bool {
+		var status entry.Status
+		getJSON(s.t, e.url()+"/v1/status", &status)
+		for _, i := range status.Instances {
+			if i.Name == e.name {
+				return i.Queue.Team["slow"][queue.Normal].Running >= int64(n)
+			}
+		}
+		return false
+	})
+	return answers
+}
+
+// answered sends a request and fails unless its whole answer comes.
+func answered(req *http.Request) error {
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.ReadAll(res.Body); err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.New(res.Status + " " + res.Header.Get("Daisyrack-Reason"))
+	}
+	return nil
+}
