--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -20,7 +20,7 @@
 
 	// storeSilence is how long the store may be silent before new work is rejected; a slow
 	// store answers within it.
-	storeSilence = 1500 * time.Millisecond
+	storeSilence = 2 * time.Second
 
 	// rejectPause is what callers are told to wait while the store can not be reached; outages
 	// of seconds are the usual ones.
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -134,12 +134,12 @@
 	if j == nil {
 		return
 	}
-	c.applyEffect(now, j, e.Task, e.Kind, e.Checkpoint, r)
+	c.applyEffect(now, j, e.Task, e.Number, e.Kind, e.Checkpoint, r)
 }
 
 // applyEffect tells the job of an end and does what follows from it.
-func (c *Core) applyEffect(now time.Time, j *job, t fleet.Task, kind fleet.EndKind, checkpoint string, r *run) {
-	effect := j.End(now, t, kind, checkpoint)
+func (c *Core) applyEffect(now time.Time, j *job, t fleet.Task, number int64, kind fleet.EndKind, checkpoint string, r *run) {
+	effect := j.End(now, t, number, kind, checkpoint)
 	if effect.Changed {
 		c.keep.changed(j)
 	}
@@ -258,5 +258,5 @@
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", why).Info("run lost")
 	c.remove(r)
-	c.applyEffect(now, r.job, r.task, fleet.Lost, "", r)
+	c.applyEffect(now, r.job, r.task, r.number, fleet.Lost, "", r)
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -202,5 +202,5 @@
 		return
 	}
 	c.remove(r)
-	c.applyEffect(now, r.job, r.task, fleet.Lost, "", r)
+	c.applyEffect(now, r.job, r.task, r.number, fleet.Lost, "", r)
 }
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -75,8 +76,9 @@
 
 // Task is the state of one task.
 type Task struct {
-	Done       bool
-	Failures   int
+	Done bool
+	// FailedRuns are the numbers of the runs that failed; an end can be read more than once.
+	FailedRuns []int64
 	Checkpoint string
 }
 
@@ -202,7 +204,7 @@
 }
 
 // End applies the end of a run.
-func (j *Job) End(now time.Time, t fleet.Task, kind fleet.EndKind, checkpoint string) Effect {
+func (j *Job) End(now time.Time, t fleet.Task, number int64, kind fleet.EndKind, checkpoint string) Effect {
 	task := j.Task(t)
 	if task == nil || task.Done || j.State.Final() {
 		return Effect{}
@@ -213,7 +215,7 @@
 	case kind == fleet.Done && !step.Lasts:
 		return j.done(now, t)
 	case kind == fleet.Failed && !step.Lasts:
-		return j.failed(now, t)
+		return j.failed(now, t, number)
 	}
 	return Effect{Changed: changed, Again: true}
 }
@@ -282,13 +284,16 @@
 }
 
 // failed counts an attempt; the attempts of a gang are counted once for all members.
-func (j *Job) failed(now time.Time, t fleet.Task) Effect {
+func (j *Job) failed(now time.Time, t fleet.Task, number int64) Effect {
 	task := j.Task(t)
 	if j.Spec.Steps[t.Step].Gang {
 		task = &j.open[t.Occurrence].steps[t.Step].tasks[0]
 	}
-	task.Failures++
-	if task.Failures >= max(j.MaxAttempts, 1) {
+	if slices.Contains(task.FailedRuns, number) {
+		return Effect{Again: true}
+	}
+	task.FailedRuns = append(task.FailedRuns, number)
+	if len(task.FailedRuns) >= max(j.MaxAttempts, 1) {
 		j.finish(now, Failed)
 		return Effect{Changed: true, Final: true}
 	}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -124,9 +124,9 @@
 			some = true
 			continue
 		}
-		if t.Failures > 0 || t.Checkpoint != "" {
+		if len(t.FailedRuns) > 0 || t.Checkpoint != "" {
 			r.Tasks = append(r.Tasks, &wire.TaskProgress{
-				Index: int64(i), Failures: int64(t.Failures), Checkpoint: t.Checkpoint,
+				Index: int64(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
 			})
 			some = true
 		}
@@ -188,7 +188,7 @@
 	}
 	for _, t := range r.GetTasks() {
 		if i := int(t.GetIndex()); i < len(p.tasks) {
-			p.tasks[i].Failures = int(t.GetFailures())
+			p.tasks[i].FailedRuns = t.GetFailedRuns()
 			p.tasks[i].Checkpoint = t.GetCheckpoint()
 		}
 	}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -19,6 +19,9 @@
 	// storePause is the pause between reads of the owner's row by one candidate.
 	storePause = 120 * time.Millisecond
 
+	// rowTimeout bounds a read of the owner's row, also from a slow store.
+	rowTimeout = 1200 * time.Millisecond
+
 	// askTimeout bounds a question for the owner to a seed.
 	askTimeout = 300 * time.Millisecond
 )
@@ -116,7 +119,9 @@
 
 // contend reads the owner's row and takes the cell over if nobody renews it.
 func (h *Host) contend(ctx context.Context, former string, gone bool) {
+	begun := time.Now()
 	row, err := h.readOwner(ctx)
+	stagger := max(rankStagger, staggerReads*time.Since(begun))
 	if err != nil {
 		h.Log.WithError(err).Debug("owner's row not read")
 		h.askOthers(ctx, former)
@@ -124,7 +129,7 @@
 		return
 	}
 	if h.mayTake(row, former, gone) && !h.isLeaving() && h.Policy() != nil {
-		pause(ctx, time.Duration(h.rank(former))*rankStagger)
+		pause(ctx, time.Duration(h.rank(former))*stagger)
 		again, err := h.readOwner(ctx)
 		if err == nil && again.Version == row.Version {
 			h.own(ctx, again)
@@ -145,7 +150,7 @@
 }
 
 func (h *Host) readOwner(ctx context.Context) (*ledger.Owner, error) {
-	ctx, cancel := context.WithTimeout(ctx, ledger.StaleAfter)
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	return h.Ledger.Read(ctx)
 }
@@ -237,9 +242,10 @@
 	h.hear()
 	go h.hearSelf(ctx)
 	err := d.Run(ctx, from)
+	alone := len(h.relays()) == 0
 	h.term.Store(nil)
 	h.Log.WithError(err).Info("term as owner has ended")
-	if h.isLeaving() {
+	if h.isLeaving() && alone {
 		h.resign()
 	}
 	h.setOwner("", 0)
@@ -255,6 +261,7 @@
 	}
 }
 
+// resign vacates the row for instances that do not follow this one; followers are told.
 func (h *Host) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), ledger.StaleAfter)
 	defer cancel()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,6 +29,10 @@
 	// rankStagger parts the tries of candidates, so that usually only one takes the cell over.
 	rankStagger = 30 * time.Millisecond
 
+	// staggerReads is the same in reads of the owner's row, so that in a slow store too the first
+	// candidate's transaction is done before the second reads again.
+	staggerReads = 3
+
 	// followerMemory is how long a follower counts after its last call.
 	followerMemory = time.Second
 
