--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -87,7 +87,8 @@
 		penalty float64
 	}
 	var options []option
-	for id, ex := range c.execs {
+	for _, ex := range c.ordered {
+		id := ex.ID
 		if !c.mayRun(now, w, ex) {
 			continue
 		}
--- a/internal/cell/control.go
+++ b/internal/cell/control.go
@@ -33,7 +33,7 @@
 			worst = max(worst, r.gauge/float64(target.Milliseconds()))
 		}
 	}
-	for _, r := range ex.runs {
+	for _, r := range ex.runsNow() {
 		if !r.spec().Filler || r.stopping || r.ordered || r.known.IsZero() || now.Sub(r.pacedAt) < paceInterval {
 			continue
 		}
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -46,7 +46,9 @@
 	policy *fleet.Policy
 	jobs   map[string]*job
 	execs  map[string]*executor
-	room   place.Cell
+	// ordered has the same executors by id, so that decisions can be repeated.
+	ordered []*executor
+	room    place.Cell
 
 	// works are the steps with tasks to start, in the order in which they are served.
 	works []*work
@@ -125,8 +127,10 @@
 	known time.Time
 	// begun is when the start was ordered.
 	begun time.Time
-	// doubtful is set when a start without an answer may still be carried out.
+	// doubtful is set while it is not known whether the run began.
 	doubtful bool
+	// stray is set when a copy of its start got no answer and may still be carried out.
+	stray    bool
 	stopping bool
 	ordered  bool // a start or stop is on its way
 	percent  float64
@@ -212,7 +216,7 @@
 	for _, w := range c.works {
 		w.setQueue(p.Queue(w.job.Spec.Queue))
 	}
-	for _, ex := range c.execs {
+	for _, ex := range c.ordered {
 		c.cordon(ex)
 	}
 }
@@ -252,7 +256,7 @@
 			c.addSteps(now, j, j.Open(now))
 		}
 	}
-	for _, ex := range c.execs {
+	for _, ex := range c.ordered {
 		c.checkLease(now, ex)
 	}
 	c.unlockEarlier(now)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -35,6 +37,9 @@
 	// leastLease is what must be left of the lease for a start to be worth sending.
 	leastLease = time.Second
 
+	// strayMemory is how long a start without an answer may still be carried out.
+	strayMemory = 15 * time.Second
+
 	// failureMemory is how long the failures of an executor count.
 	failureMemory = 8 * time.Second
 )
@@ -64,6 +69,9 @@
 	applied int64
 	forget  int64
 
+	// strays are starts without an answer that may still be carried out.
+	strays []stray
+
 	// strangers is the number of runs that were listed last and whose need is not known.
 	strangers int
 
@@ -75,21 +83,27 @@
 	slow float64
 }
 
+// stray is a copy of a start that got no answer.
+type stray struct {
+	task   fleet.Task
+	number int64
+	sent   time.Time
+}
+
 // SetExecutor adds an executor of the instance list or updates it.
 func (c *Core) SetExecutor(now time.Time, e fleet.Executor) {
 	ex := c.execs[e.ID]
 	if ex == nil {
 		ex = &executor{Executor: e, runs: make(map[string]*run), slow: 1, stored: c.used[e.ID]}
 		c.execs[e.ID] = ex
+		i, _ := slices.BinarySearchFunc(c.ordered, e.ID, func(ex *executor, id string) int { return cmp.Compare(ex.ID, id) })
+		c.ordered = slices.Insert(c.ordered, i, ex)
 		c.Log.WithField("executor", e.ID).WithField("domain", e.Domain).WithField("rack", e.Rack).
 			WithField("cpu_millis", e.Capacity.CPUMillis).Info("executor found")
 	}
 	leaving := e.Draining && !ex.Draining
 	ex.Executor = e
 	ex.listed = true
-	if e.Life != 0 && ex.life != 0 && e.Life > ex.life {
-		c.newLife(now, ex, e.Life)
-	}
 	c.room.SetWorker(place.Worker{Name: e.ID, Rack: e.Rack, Capacity: e.Capacity})
 	c.cordon(ex)
 	if leaving {
@@ -113,9 +127,9 @@
 
 // Executors returns the ids of all known executors.
 func (c *Core) Executors() []string {
-	ids := make([]string, 0, len(c.execs))
-	for id := range c.execs {
-		ids = append(ids, id)
+	ids := make([]string, 0, len(c.ordered))
+	for _, ex := range c.ordered {
+		ids = append(ids, ex.ID)
 	}
 	return ids
 }
@@ -168,7 +182,8 @@
 			l.Wait = sharedWait
 		}
 	}
-	if ex.claimed {
+	if ex.claimed && ex.misses == 0 {
+		// A silent executor is told no later end, so that its lease does end.
 		l.Until = c.leaseEnd(ex)
 		if len(ex.runs) == 0 && l.Until <= ex.until {
 			l.Until = 0
@@ -232,6 +247,7 @@
 func (c *Core) dropExecutor(ex *executor) {
 	c.room.RemoveWorker(ex.ID)
 	delete(c.execs, ex.ID)
+	c.ordered = slices.DeleteFunc(slices.Clone(c.ordered), func(other *executor) bool { return other == ex })
 	delete(c.earlier, ex.ID)
 	if c.used[ex.ID] {
 		delete(c.used, ex.ID)
@@ -240,15 +256,21 @@
 	c.Log.WithField("executor", ex.ID).Info("executor forgotten")
 }
 
-// runsNow returns the runs in a slice, so that they can be removed while it is walked.
+// runsNow returns the runs in order, in a slice of their own, so that they can be removed while it is walked.
 func (ex *executor) runsNow() []*run {
 	out := make([]*run, 0, len(ex.runs))
 	for _, r := range ex.runs {
 		out = append(out, r)
 	}
+	sortRuns(out)
 	return out
 }
 
+// sortRuns makes decisions repeatable.
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.key, b.key) })
+}
+
 // allLapsed returns when every lease that an earlier owner told has ended.
 func (c *Core) allLapsed() time.Time {
 	return c.Taken.Add(time.Duration(float64(c.Lease)/(1-clockDrift)) + lapseMargin)
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -26,11 +26,14 @@
 		c.missed(ex, ans)
 		return
 	}
-	c.heard(now, ex, ans)
 	listed := make(map[string]bool, len(ans.Runs))
 	for i := range ans.Runs {
 		listed[runKey(ans.Runs[i].Task, ans.Runs[i].Number)] = true
 	}
+	if ans.Life != 0 && ex.life != 0 && ans.Life != ex.life {
+		c.newLife(now, sent, ex, ans.Life, listed)
+	}
+	c.heard(now, ex, ans)
 	for i := range ans.Ends {
 		c.applyEnd(now, ex, &ans.Ends[i])
 	}
@@ -69,9 +72,6 @@
 
 // heard notes that the executor answered under this epoch.
 func (c *Core) heard(now time.Time, ex *executor, ans fleet.Answer) {
-	if ans.Life != 0 && ex.life != 0 && ans.Life != ex.life {
-		c.newLife(now, ex, ans.Life)
-	}
 	if ans.Life != 0 {
 		ex.life = ans.Life
 	}
@@ -100,15 +100,41 @@
 	c.cordon(ex)
 }
 
-// newLife gives up what ran in the former life of an executor.
-func (c *Core) newLife(now time.Time, ex *executor, life int64) {
+// newLife gives up what ran in the former life of an executor. Runs that are listed, or whose
+// start was answered after the look was sent, may belong to the new one.
+func (c *Core) newLife(now, sent time.Time, ex *executor, life int64, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", life).WithField("former", ex.life).
 		WithField("runs", len(ex.runs)).Warn("executor has started again")
-	c.loseAll(now, ex, "executor has started again")
 	ex.life = life
 	ex.clock, ex.until, ex.clockAt = 0, 0, now
 	ex.applied, ex.forget = 0, 0
 	ex.fails, ex.slow = 0, 1
+	for _, r := range ex.runsNow() {
+		switch {
+		case listed[r.key], r.known.IsZero(), !r.known.Before(sent):
+		case r.stray:
+			// A copy of the start may arrive in the new life, which does not know the lease of the
+			// former one; a stop makes it harmless.
+			c.stop(now, r, "executor has started again")
+		default:
+			c.lose(now, r, "executor has started again")
+		}
+	}
+	c.stopStrays(now, ex)
+}
+
+// stopStrays makes starts harmless that were sent to the former life of an executor.
+func (c *Core) stopStrays(now time.Time, ex *executor) {
+	for _, s := range ex.strays {
+		if now.Sub(s.sent) < strayMemory && ex.runs[runKey(s.task, s.number)] == nil {
+			c.Count.Stops++
+			c.orders = append(c.orders, Order{
+				Executor: ex.Executor,
+				Stop:     &fleet.Stop{Task: s.task, Number: s.number, Epoch: c.Epoch},
+			})
+		}
+	}
+	ex.strays = nil
 }
 
 func (c *Core) loseAll(now time.Time, ex *executor, why string) {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -173,17 +173,13 @@
 		}
 		return
 	case fleet.Silent:
-		r.doubtful = true
+		r.doubtful, r.stray = true, true
+		r.ex.strays = append(r.ex.strays, stray{task: r.task, number: r.number, sent: now})
 		if r.stopping {
 			return
 		}
 		c.Count.Resent++
 		r.ordered = true
-		until := c.leaseEnd(r.ex)
-		r.ex.extend(until)
-		again := *r.start
-		again.Until = until
-		r.start = &again
 		c.orders = append(c.orders, Order{Executor: r.ex.Executor, Start: r.start, run: r, Try: o.Try + 1})
 		return
 	}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -146,10 +146,18 @@
 	for _, w := range j.works {
 		c.dropWork(w)
 	}
-	for _, runs := range j.runs {
-		for _, r := range runs {
-			c.stop(now, r, "job has ended")
-		}
+	for _, r := range j.allRuns() {
+		c.stop(now, r, "job has ended")
 	}
 	c.keep.finished(j)
 }
+
+// allRuns returns the runs of all tasks in order.
+func (j *job) allRuns() []*run {
+	var out []*run
+	for _, runs := range j.runs {
+		out = append(out, runs...)
+	}
+	sortRuns(out)
+	return out
+}
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -124,6 +124,7 @@
 			out = append(out, runs...)
 		}
 	}
+	sortRuns(out)
 	return out
 }
 
@@ -154,7 +155,13 @@
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
 	}
-	return a.job.objective.Before(b.job.objective)
+	if !a.job.objective.Equal(b.job.objective) {
+		return a.job.objective.Before(b.job.objective)
+	}
+	if a.job.ID != b.job.ID {
+		return a.job.ID < b.job.ID
+	}
+	return a.step.Occurrence < b.step.Occurrence || a.step.Occurrence == b.step.Occurrence && a.step.Step < b.step.Step
 }
 
 // Schedule starts the tasks for which there is room, in order.
@@ -259,7 +266,7 @@
 func (c *Core) candidates(now time.Time, w *work) []place.Candidate {
 	var out []place.Candidate
 	if w.queue.Advice == nil {
-		for _, ex := range c.execs {
+		for _, ex := range c.ordered {
 			if c.mayRun(now, w, ex) {
 				out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
 			}
--- /dev/null
+++ b/internal/cell/world_test.go
@@ -0,0 +1,599 @@
+package cell_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyrack/daisyrack/internal/cell"
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/flow"
+	"github.com/daisyrack/daisyrack/internal/ledger"
+	"github.com/daisyrack/daisyrack/pkg/place"
+	"github.com/daisyrack/daisyrack/pkg/table"
+)
+
+// world plays executors, store and policy service for owners, in virtual time.
+type world struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Time
+	events eventQueue
+	serial int
+
+	execs  map[string]*fakeExecutor
+	rows   map[string][]byte
+	fence  int64 // epoch that may commit
+	policy *fleet.Policy
+	owners []*owner
+
+	// storeDown keeps all commits without an answer.
+	storeDown bool
+	// lateShare of the orders get no answer and are carried out up to 8 s later.
+	lateShare float64
+
+	history map[fleet.Task][]*span
+	broken  []string
+}
+
+// span is one run of a task as an executor saw it.
+type span struct {
+	number     int64
+	executor   string
+	begin, end time.Time
+	kind       fleet.EndKind
+	open       bool
+	noted      bool
+}
+
+type fakeExecutor struct {
+	fleet.Executor
+	born    time.Time
+	life    int64
+	fence   int64
+	until   time.Duration
+	runs    map[string]*fakeRun
+	ends    []fleet.End
+	serial  int64
+	closed  map[fleet.Task]int64
+	cut     bool
+	down    bool
+	drift   float64
+	failAll bool
+}
+
+type fakeRun struct {
+	fleet.Run
+	span    *span
+	begun   time.Time
+	work    time.Duration
+	fails   bool
+	need    place.Resources
+	lasting bool
+}
+
+type owner struct {
+	core    *cell.Core
+	w       *world
+	cut     map[string]bool // executors out of reach
+	dead    bool
+	busy    bool
+	away    bool // the store is out of reach
+	looking map[string]bool
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	do     func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, k int) bool {
+	return q[i].at.Before(q[k].at) || q[i].at.Equal(q[k].at) && q[i].serial < q[k].serial
+}
+func (q eventQueue) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+const (
+	testQueue  = "urgent"
+	slowQueue  = "slow"
+	testPool   = "pool"
+	messageLag = time.Millisecond
+	lease      = 6500 * time.Millisecond
+	stopTime   = 500 * time.Millisecond
+)
+
+func newWorld(t *testing.T, seed uint64, executors int) *world {
+	t.Helper()
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
+		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
+		history: make(map[fleet.Task][]*span),
+		policy: &fleet.Policy{Version: 1, Queues: []fleet.Queue{
+			{Name: testQueue, Service: testPool, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
+			{Name: slowQueue, Service: testPool, Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+		}},
+	}
+	for i := range executors {
+		w.addExecutor(fmt.Sprintf("x%d", i))
+	}
+	return w
+}
+
+func (w *world) addExecutor(id string) *fakeExecutor {
+	x := &fakeExecutor{
+		Executor: fleet.Executor{
+			ID: id, Service: testPool, Domain: "a", Rack: "r" + id[len(id)-1:],
+			Capacity: place.Resources{CPUMillis: 8000, MemoryMB: 16000},
+		},
+		drift: 1 - 0.02*w.rng.Float64(),
+	}
+	w.execs[id] = x
+	x.restart(w)
+	return x
+}
+
+func (x *fakeExecutor) restart(w *world) {
+	for _, r := range x.runs {
+		r.span.end, r.span.open, r.span.kind = w.now, false, fleet.Lost
+	}
+	x.born, x.life = w.now, w.now.UnixMilli()
+	x.fence, x.until, x.serial = 0, 0, 0
+	x.runs, x.ends = make(map[string]*fakeRun), nil
+	x.closed = make(map[fleet.Task]int64)
+	x.down = false
+}
+
+// print writes a log line of an owner with the virtual time.
+func (w *world) print(e *log.Entry) error {
+	w.t.Logf("%8s %s %v", w.now.Sub(time.Unix(1_700_000_000, 0)), e.Message, e.Fields)
+	return nil
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{w.now.Add(d), w.serial, do})
+}
+
+// run plays events for a while.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) breach(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%s: ", w.now.Sub(time.Unix(1_700_000_000, 0)))+fmt.Sprintf(format, args...))
+}
+
+// takeOver makes a new owner, which reads the rows and claims the executors.
+func (w *world) takeOver() *owner {
+	w.fence++
+	logger := &log.Logger{Handler: log.HandlerFunc(w.print), Level: log.FatalLevel}
+	if traced() {
+		logger.Level = log.DebugLevel
+	}
+	o := &owner{w: w, cut: make(map[string]bool), looking: make(map[string]bool)}
+	o.core = &cell.Core{Epoch: w.fence, Lease: lease, Taken: w.now, Log: logger}
+	o.core.Begin(w.policy, w.now)
+	if err := o.core.Restore(w.now, w.scan(ledger.FleetKey), w.scan(ledger.JobPrefix), w.scan(ledger.ProgressPrefix)); err != nil {
+		w.t.Fatal(err)
+	}
+	w.owners = append(w.owners, o)
+	w.after(messageLag, func() {
+		for _, x := range w.sorted() {
+			o.found(x)
+		}
+	})
+	w.after(messageLag, o.tick)
+	return o
+}
+
+func (w *world) sorted() []*fakeExecutor {
+	ids := make([]string, 0, len(w.execs))
+	for id := range w.execs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	out := make([]*fakeExecutor, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, w.execs[id])
+	}
+	return out
+}
+
+func (w *world) scan(prefix string) []table.Row {
+	var out []table.Row
+	for key, value := range w.rows {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			out = append(out, table.Row{Key: key, Value: value})
+		}
+	}
+	slices.SortFunc(out, func(a, b table.Row) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (o *owner) found(x *fakeExecutor) {
+	e := x.Executor
+	e.Life = x.life
+	o.core.SetExecutor(o.w.now, e)
+	if !o.looking[x.ID] {
+		o.looking[x.ID] = true
+		o.look(x.ID)
+	}
+}
+
+func (o *owner) tick() {
+	if o.dead {
+		return
+	}
+	o.core.Tick(o.w.now)
+	o.act()
+	o.w.after(25*time.Millisecond, o.tick)
+}
+
+func (o *owner) act() {
+	w := o.w
+	if o.dead || o.core.Deposed {
+		o.dead = true
+		return
+	}
+	o.core.Schedule(w.now)
+	for _, order := range o.core.Orders() {
+		o.send(order)
+	}
+	o.commit()
+}
+
+func (o *owner) commit() {
+	w := o.w
+	due, _ := o.core.CommitDue(w.now)
+	if o.busy {
+		return
+	}
+	renew := w.now.Sub(time.Unix(0, 0))%(400*time.Millisecond) < 30*time.Millisecond
+	if !due && !renew {
+		return
+	}
+	b, err := o.core.NextBatch()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	o.busy = true
+	sent := w.now
+	var try func()
+	try = func() {
+		if o.dead {
+			return
+		}
+		if w.storeDown || o.away {
+			w.after(100*time.Millisecond, func() { sent = w.now; try() })
+			return
+		}
+		if o.core.Epoch != w.fence {
+			o.core.Deposed = true
+			o.dead = true
+			return
+		}
+		for _, put := range b.Puts {
+			w.rows[put.Key] = put.Value
+		}
+		for _, key := range b.Deletes {
+			delete(w.rows, key)
+		}
+		w.after(messageLag, func() {
+			o.busy = false
+			o.core.Proven(sent)
+			o.core.Committed(w.now, b)
+			o.act()
+		})
+	}
+	w.after(8*time.Millisecond, try)
+}
+
+func (o *owner) reaches(x *fakeExecutor) bool {
+	return x != nil && !x.cut && !x.down && !o.cut[x.ID]
+}
+
+func (o *owner) look(id string) {
+	w := o.w
+	if o.dead {
+		return
+	}
+	e, look, known := o.core.NextLook(w.now, id)
+	if !known {
+		delete(o.looking, id)
+		return
+	}
+	sent := w.now
+	w.after(messageLag, func() {
+		x := w.execs[e.ID]
+		wait := time.Duration(0)
+		if o.reaches(x) {
+			x.forget(look.Forget, look.Epoch)
+			if look.Epoch >= x.fence && look.Wait > 0 && len(x.ends) == 0 {
+				wait = 50 * time.Millisecond
+			}
+			if look.Epoch >= x.fence {
+				x.fence = look.Epoch
+				x.until = max(x.until, look.Until)
+			}
+		}
+		w.after(wait, func() { o.looked(id, sent, look) })
+	})
+}
+
+func (o *owner) looked(id string, sent time.Time, look fleet.Look) {
+	w := o.w
+	x := w.execs[id]
+	ans := fleet.Answer{Verdict: fleet.Silent}
+	delay := messageLag
+	if !o.reaches(x) {
+		delay = 500 * time.Millisecond
+	} else if look.Epoch < x.fence {
+		ans = fleet.Answer{Verdict: fleet.Fenced}
+	} else {
+		ans = x.list(w)
+	}
+	w.after(delay, func() {
+		if o.dead {
+			return
+		}
+		o.core.Looked(w.now, sent, id, ans)
+		pause := o.core.LookPause(id)
+		w.after(pause, func() { o.look(id) })
+		o.act()
+	})
+}
+
+func (o *owner) send(order cell.Order) {
+	w := o.w
+	delay := messageLag + time.Duration(w.rng.IntN(3))*time.Millisecond
+	silent := w.rng.Float64() < w.lateShare
+	if silent {
+		delay = 2*time.Second + time.Duration(w.rng.IntN(6000))*time.Millisecond
+	}
+	reply := func(ans fleet.Answer) {
+		if !o.dead {
+			o.core.Ordered(w.now, order, ans)
+			o.act()
+		}
+	}
+	id := order.Executor.ID
+	received := w.execs[id].life
+	w.after(delay, func() {
+		x := w.execs[id]
+		if silent && x.life != received {
+			return // the executor held the order and has forgotten it
+		}
+		if !o.reaches(x) {
+			if !silent {
+				w.after(300*time.Millisecond, func() { reply(fleet.Answer{Verdict: fleet.Silent}) })
+			}
+			return
+		}
+		ans := x.obey(w, order)
+		if !silent {
+			w.after(messageLag, func() { reply(ans) })
+		}
+	})
+	if silent {
+		w.after(300*time.Millisecond, func() { reply(fleet.Answer{Verdict: fleet.Silent}) })
+	}
+}
+
+// clock is the executor's own clock.
+func (x *fakeExecutor) clock(w *world) time.Duration {
+	return time.Duration(float64(w.now.Sub(x.born)) * x.drift)
+}
+
+func (x *fakeExecutor) obey(w *world, order cell.Order) fleet.Answer {
+	ans := fleet.Answer{Clock: x.clock(w), HasClock: true, Life: x.life}
+	switch {
+	case order.Start != nil:
+		ans.Verdict = x.start(w, order.Start)
+	case order.Stop != nil:
+		ans.Verdict = x.stop(w, order.Stop)
+	}
+	return ans
+}
+
+func (x *fakeExecutor) start(w *world, s *fleet.Start) fleet.Verdict {
+	if s.Epoch < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = s.Epoch
+	key := runKey(s.Task, s.Number)
+	if x.runs[key] != nil {
+		return fleet.Obeyed
+	}
+	if s.Number <= x.closed[s.Task] {
+		return fleet.Outdated
+	}
+	if s.Until <= x.clock(w) {
+		return fleet.Late
+	}
+	x.until = max(x.until, s.Until)
+	w.checkStart(x, s)
+	spec := w.specOf(s.Task)
+	work := time.Duration(float64(spec.Estimate) * (0.5 + w.rng.Float64()))
+	sp := &span{number: s.Number, executor: x.ID, begin: w.now, open: true}
+	w.history[s.Task] = append(w.history[s.Task], sp)
+	r := &fakeRun{
+		Run: fleet.Run{Task: s.Task, Number: s.Number}, span: sp, begun: w.now, work: work,
+		fails: x.failAll || w.rng.Float64() < 0.02, need: spec.Counted(), lasting: spec.Lasts,
+	}
+	x.runs[key] = r
+	if !spec.Lasts {
+		life := x.life
+		w.after(work, func() {
+			if x.life == life && x.runs[key] == r {
+				kind := fleet.Done
+				if r.fails {
+					kind = fleet.Failed
+				}
+				x.finish(w, key, kind)
+			}
+		})
+	}
+	w.after(x.leaseLeft(w)+time.Millisecond, func() { x.expire(w) })
+	return fleet.Obeyed
+}
+
+func (x *fakeExecutor) leaseLeft(w *world) time.Duration {
+	return time.Duration(float64(x.until-x.clock(w)) / x.drift)
+}
+
+func (x *fakeExecutor) expire(w *world) {
+	if x.down || len(x.runs) == 0 {
+		return
+	}
+	if x.clock(w) < x.until {
+		w.after(x.leaseLeft(w)+time.Millisecond, func() { x.expire(w) })
+		return
+	}
+	for _, key := range x.keys() {
+		x.finish(w, key, fleet.Lapsed)
+	}
+}
+
+func (x *fakeExecutor) keys() []string {
+	keys := make([]string, 0, len(x.runs))
+	for key := range x.runs {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (x *fakeExecutor) finish(w *world, key string, kind fleet.EndKind) {
+	r := x.runs[key]
+	delete(x.runs, key)
+	r.span.end, r.span.open, r.span.kind = w.now, false, kind
+	x.closed[r.Task] = max(x.closed[r.Task], r.Number)
+	x.serial++
+	x.ends = append(x.ends, fleet.End{Sequence: x.serial, Task: r.Task, Number: r.Number, Kind: kind})
+	if kind == fleet.Lapsed {
+		// What ended before the lease did and was not noted does not count.
+		return
+	}
+}
+
+func (x *fakeExecutor) stop(w *world, s *fleet.Stop) fleet.Verdict {
+	if s.Epoch < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = s.Epoch
+	x.closed[s.Task] = max(x.closed[s.Task], s.Number)
+	key := runKey(s.Task, s.Number)
+	if r := x.runs[key]; r != nil {
+		life := x.life
+		w.after(time.Duration(w.rng.Int64N(int64(stopTime))), func() {
+			if x.life == life && x.runs[key] == r {
+				x.finish(w, key, fleet.Stopped)
+			}
+		})
+	}
+	return fleet.Obeyed
+}
+
+func (x *fakeExecutor) forget(upTo, epoch int64) {
+	if epoch < x.fence {
+		return
+	}
+	x.ends = slices.DeleteFunc(x.ends, func(e fleet.End) bool { return e.Sequence <= upTo })
+}
+
+func (x *fakeExecutor) list(w *world) fleet.Answer {
+	ans := fleet.Answer{Clock: x.clock(w), HasClock: true, Life: x.life, Ends: slices.Clone(x.ends)}
+	for _, key := range x.keys() {
+		r := x.runs[key].Run
+		r.Percent = min(100, 100*float64(w.now.Sub(x.runs[key].begun))/float64(max(x.runs[key].work, 1)))
+		ans.Runs = append(ans.Runs, r)
+	}
+	return ans
+}
+
+func runKey(t fleet.Task, n int64) string {
+	return fmt.Sprintf("%s.%d.%d.%d#%d", t.Job, t.Occurrence, t.Step, t.Index, n)
+}
+
+var specs = make(map[string]flow.Spec)
+
+func (w *world) specOf(t fleet.Task) *flow.Step {
+	spec := specs[w.t.Name()+t.Job]
+	return &spec.Steps[t.Step]
+}
+
+// checkStart compares a start with the history of all runs.
+func (w *world) checkStart(x *fakeExecutor, s *fleet.Start) {
+	spec := w.specOf(s.Task)
+	var used place.Resources
+	for _, r := range x.runs {
+		used = used.Add(r.need)
+	}
+	if !spec.Counted().Fits(x.Capacity.Sub(used)) {
+		w.breach("capacity of %s exceeded by %s", x.ID, runKey(s.Task, s.Number))
+	}
+	for _, sp := range w.history[s.Task] {
+		if sp.open && !spec.Copies {
+			w.breach("task %s runs twice: run %d on %s and run %d on %s", runKey(s.Task, s.Number), sp.number, sp.executor, s.Number, x.ID)
+		}
+	}
+	all := specs[w.t.Name()+s.Task.Job]
+	for _, before := range all.Steps[s.Task.Step].After {
+		for i := range all.Steps[before].Count {
+			t := fleet.Task{Job: s.Task.Job, Step: before, Index: i}
+			if !slices.ContainsFunc(w.history[t], func(sp *span) bool { return sp.kind == fleet.Done && !sp.open }) {
+				w.breach("%s started before %s was done", runKey(s.Task, s.Number), runKey(t, 0))
+			}
+		}
+	}
+}
+
+// submit hands a job to an owner; the result is set when the answer comes.
+func (w *world) submit(o *owner, id string, spec flow.Spec) *cell.Reply {
+	spec.Accepted = w.now
+	specs[w.t.Name()+id] = spec
+	out := &cell.Reply{Outcome: cell.Unknown}
+	o.core.Submit(w.now, id, spec, func(r cell.Reply) { *out = r })
+	o.act()
+	return out
+}
+
+func oneStep(queue string, count int, estimate time.Duration) flow.Spec {
+	return flow.Spec{Queue: queue, Text: "text", Steps: []flow.Step{{
+		Count: count, Need: place.Resources{CPUMillis: 2000, MemoryMB: 1000}, Estimate: estimate,
+	}}}
+}
+
+func (w *world) expectClean() {
+	w.t.Helper()
+	for _, b := range w.broken {
+		w.t.Error(b)
+	}
+}
--- a/pkg/place/among.go
+++ b/pkg/place/among.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		s := c.grid.score(c.workers[i].free.Sub(t.Need))
-		if best == none || cand.Penalty < bestPenalty || cand.Penalty == bestPenalty && s < bestScore {
+		if best == none || cand.Penalty < bestPenalty || cand.Penalty == bestPenalty && (s < bestScore || s == bestScore && i < best) {
 			best, bestPenalty, bestScore = i, cand.Penalty, s
 		}
 	}
