--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -212,6 +212,9 @@
 		w.judged[id] = life
 	}
 	c.Count.AdviceGood += int64(good)
+	c.Log.WithField("job", w.job.ID).WithField("step", w.step.Step).WithField("asked", len(q.Executors)).
+		WithField("good", len(tickets)).WithField("pending", len(w.pending)).
+		WithField("took_ms", now.Sub(q.asked).Milliseconds()).Debug("advice answered")
 	if fresh > 0 {
 		s := c.share(w.queue.Name)
 		s.value += shareWeight * (float64(good)/float64(fresh) - s.value)
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
@@ -36,6 +37,9 @@
 	// relistPause is the pause before the instance list is read again after an error.
 	relistPause = 200 * time.Millisecond
 
+	// slowCommit is what is told of in the log; a commit usually takes 12 ms.
+	slowCommit = 150 * time.Millisecond
+
 	// adviserPause keeps calls away from an adviser that failed.
 	adviserPause = 500 * time.Millisecond
 
@@ -43,6 +47,8 @@
 	adviceGrace = 400 * time.Millisecond
 )
 
+var commitSeconds = metrics.NewHistogram("commit_seconds")
+
 // Change is one change of the instance list.
 type Change struct {
 	Executor fleet.Executor
@@ -79,6 +85,7 @@
 	done       chan struct{}
 	committing bool
 	renewedAt  time.Time
+	toldSlow   time.Time
 	lanes      map[string]*lane
 	looking    map[string]bool
 	advising   map[string]bool
@@ -331,6 +338,7 @@
 		sent, err := d.Ledger.Commit(ctx, b.Puts, b.Deletes)
 		d.post(func(now time.Time) {
 			d.committing = false
+			d.noteCommit(now.Sub(d.renewedAt), b)
 			if err != nil {
 				d.commitFailed(err)
 				return
@@ -341,6 +349,18 @@
 	})
 }
 
+// noteCommit tells of commits that take long, at most once a second.
+func (d *Driver) noteCommit(took time.Duration, b *Batch) {
+	commitSeconds.Update(took.Seconds())
+	now := d.Ledger.Now()
+	if took < slowCommit || now.Sub(d.toldSlow) < time.Second {
+		return
+	}
+	d.toldSlow = now
+	d.Log.WithField("took_ms", took.Milliseconds()).WithField("rows", b.rows()).WithField("accepts", len(b.created)).
+		WithField("finals", len(b.final)).Warn("commit took long")
+}
+
 func (d *Driver) commitFailed(err error) {
 	if errors.Is(err, ledger.ErrDeposed) {
 		d.Log.WithError(err).Warn("commit rejected: another instance owns the cell")
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -273,7 +273,7 @@
 	}
 	c.attach(r)
 	w.forget(l.Task.Index)
-	c.begun(j)
+	c.begun(now, j)
 	c.Count.Adopted++
 	return r
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -52,7 +52,7 @@
 		Ticket: w.tickets[ex.ID].value, Until: until, Epoch: c.Epoch,
 	}
 	c.attach(r)
-	c.begun(w.job)
+	c.begun(now, w.job)
 	c.Count.Starts++
 	c.orders = append(c.orders, Order{Executor: ex.Executor, Start: r.start, run: r})
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -4,10 +4,14 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 )
 
+var startSeconds = metrics.NewHistogram("job_first_start_seconds")
+
 // Submit accepts a job or rejects it; reply is called once, when the outcome is known.
 func (c *Core) Submit(now time.Time, id string, spec flow.Spec, reply func(Reply)) {
 	if j := c.jobs[id]; j != nil {
@@ -129,11 +133,16 @@
 }
 
 // begun notes the first start of a job.
-func (c *Core) begun(j *job) {
-	if !j.Started {
-		j.Started = true
-		c.waiting[j.Spec.Queue]--
+func (c *Core) begun(now time.Time, j *job) {
+	if j.Started {
+		return
 	}
+	j.Started = true
+	c.waiting[j.Spec.Queue]--
+	startSeconds.Update(now.Sub(j.Spec.Accepted).Seconds())
+	c.Log.WithField("job", j.ID).WithField("queue", j.Spec.Queue).
+		WithField("waited_ms", now.Sub(j.Spec.Accepted).Milliseconds()).
+		WithField("left_ms", j.objective.Sub(now).Milliseconds()).Info("job begins")
 }
 
 // ended ends all runs of a job that has reached a final state and has the state stored.
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -189,7 +189,7 @@
 		if owner == h.Address {
 			owner = ""
 		}
-		return &wire.FollowReply{OwnerAddress: owner, Resigned: h.isLeaving()}
+		return &wire.FollowReply{OwnerAddress: owner, Resigned: h.isLeaving() || h.isYielding()}
 	}
 	h.noteFollower(f)
 	p := h.Policy()
@@ -198,7 +198,7 @@
 		p = h.Policy()
 	}
 	if h.term.Load() != d {
-		return &wire.FollowReply{Resigned: h.isLeaving()}
+		return &wire.FollowReply{Resigned: true}
 	}
 	h.mu.Lock()
 	r := &wire.FollowReply{Epoch: max(h.epoch, 1), ConfigVersion: p.Version, Followers: h.candidates()}
@@ -229,7 +229,7 @@
 		h.Log.WithField("follower", f.GetName()).WithField("address", f.GetAddress()).Info("instance follows")
 	}
 	h.followers[f.GetName()] = &follower{
-		name: f.GetName(), address: f.GetAddress(), domain: f.GetFailureDomain(), cpuMillis: f.GetCpuMillis(),
+		name: f.GetName(), address: f.GetAddress(), domain: f.GetFailureDomain(), weight: f.GetWeight(),
 		seen: time.Now(), leaving: f.GetLeaving(),
 	}
 }
@@ -243,8 +243,8 @@
 		}
 	}
 	sort.Slice(out, func(i, k int) bool {
-		if out[i].cpuMillis != out[k].cpuMillis {
-			return out[i].cpuMillis > out[k].cpuMillis
+		if out[i].weight != out[k].weight {
+			return out[i].weight > out[k].weight
 		}
 		return out[i].name < out[k].name
 	})
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -19,6 +19,18 @@
 	// storePause is the pause between reads of the owner's row by one candidate.
 	storePause = 120 * time.Millisecond
 
+	// handicapRanks is the stagger of the smallest instance.
+	handicapRanks = 12
+
+	// yieldInterval is the time between two comparisons of the owner with its followers.
+	yieldInterval = time.Second
+
+	// yieldFactor is how much larger a follower must be for a change of the owner to pay.
+	yieldFactor = 1.5
+
+	// yieldMemory is how long an instance that gave the cell away does not take it back.
+	yieldMemory = 2 * time.Second
+
 	// rowTimeout bounds a read of the owner's row, also from a slow store.
 	rowTimeout = 1200 * time.Millisecond
 
@@ -85,7 +97,7 @@
 	h.mu.Unlock()
 	res, outcome, err := h.client.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: &wire.Follow{
 		Name: h.Name, Address: h.Address, FailureDomain: h.Domain, ConfigVersion: version,
-		CpuMillis: h.CPUMillis, Leaving: leaving,
+		Weight: h.Weight, Leaving: leaving,
 	}}})
 	if err != nil {
 		return nil, outcome, err
@@ -128,8 +140,8 @@
 		pause(ctx, storePause)
 		return
 	}
-	if h.mayTake(row, former, gone) && !h.isLeaving() && h.Policy() != nil {
-		pause(ctx, time.Duration(h.rank(former))*stagger)
+	if h.mayTake(row, former, gone) && !h.isLeaving() && !h.isYielding() && h.Policy() != nil {
+		pause(ctx, time.Duration(h.rank(former))*stagger+h.handicap(stagger))
 		again, err := h.readOwner(ctx)
 		if err == nil && again.Version == row.Version {
 			h.own(ctx, again)
@@ -169,6 +181,41 @@
 	return gone && r.GetAddress() == former
 }
 
+// handicap is how long an instance too small for the owner's duty waits for larger ones.
+func (h *Host) handicap(stagger time.Duration) time.Duration {
+	if h.Weight >= h.FullWeight {
+		return 0
+	}
+	return time.Duration(handicapRanks * float64(stagger) * float64(h.FullWeight-h.Weight) / float64(h.FullWeight))
+}
+
+// yield gives the cell to a follower that is much larger than this instance.
+func (h *Host) yield(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		pause(ctx, yieldInterval)
+		h.mu.Lock()
+		live := h.live()
+		small := len(live) > 0 && float64(live[0].weight) > yieldFactor*float64(h.Weight) && h.Weight < h.FullWeight
+		if small {
+			h.yielded = time.Now()
+		}
+		h.mu.Unlock()
+		if small && ctx.Err() == nil {
+			h.Log.WithField("weight", h.Weight).WithField("to", live[0].name).WithField("its_weight", live[0].weight).
+				Info("cell is given to a larger instance")
+			cancel()
+			return
+		}
+	}
+}
+
+// isYielding reports whether this instance has just given the cell to a larger one.
+func (h *Host) isYielding() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.yielded) < yieldMemory
+}
+
 // rank is the position of this instance among the candidates.
 func (h *Host) rank(former string) int {
 	h.mu.Lock()
@@ -241,6 +288,7 @@
 	h.setOwner(h.Address, from.Record.GetEpoch()+1)
 	h.hear()
 	go h.hearSelf(ctx)
+	go h.yield(ctx, cancel)
 	err := d.Run(ctx, from)
 	alone := len(h.relays()) == 0
 	h.term.Store(nil)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -46,8 +46,11 @@
 	// Address is host:port for calls of other instances.
 	Address string
 	Domain  string
-	// CPUMillis is the share of a core of this instance; larger ones take over first.
-	CPUMillis int64
+	// Weight is the capacity of this instance for the owner's duty; larger ones take over first.
+	Weight int64
+	// FullWeight is enough for the owner's duty at any load of today; below it an instance
+	// waits for larger ones.
+	FullWeight int64
 	// Seeds are addresses of instances to ask for the owner when the store is out of reach.
 	Seeds []string
 	// Nonce is drawn at each start.
@@ -86,18 +89,20 @@
 	// followers are those that have called this instance while it owned the cell.
 	followers map[string]*follower
 	// relay is the follower that last reached the store for this owner.
-	relay   string
+	relay string
+	// yielded is when this instance gave the cell to a larger one.
+	yielded time.Time
 	leaving bool
 	left    chan struct{}
 }
 
 type follower struct {
-	name      string
-	address   string
-	domain    string
-	cpuMillis int64
-	seen      time.Time
-	leaving   bool
+	name    string
+	address string
+	domain  string
+	weight  int64
+	seen    time.Time
+	leaving bool
 }
 
 // Prepare makes the host ready to take calls.
