--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -37,6 +37,9 @@
 	// leastLease is what must be left of the lease for a start to be worth sending.
 	leastLease = time.Second
 
+	// drainLease is the lease of an executor that leaves: its tasks start elsewhere soon after.
+	drainLease = 3 * time.Second
+
 	// strayMemory is how long a start without an answer may still be carried out.
 	strayMemory = 15 * time.Second
 
@@ -150,7 +153,11 @@
 
 // leaseEnd returns the end of the lease that may be told now, on the executor's clock.
 func (c *Core) leaseEnd(ex *executor) time.Duration {
-	return ex.clock + c.proven.Sub(ex.clockAt) + c.Lease
+	l := c.Lease
+	if ex.Draining {
+		l = min(l, drainLease)
+	}
+	return ex.clock + c.proven.Sub(ex.clockAt) + l
 }
 
 // clockNow estimates the executor's clock.
@@ -184,11 +191,10 @@
 	}
 	if ex.claimed && ex.misses == 0 {
 		// A silent executor is told no later end, so that its lease does end.
-		l.Until = c.leaseEnd(ex)
-		if len(ex.runs) == 0 && l.Until <= ex.until {
-			l.Until = 0
+		if len(ex.runs) > 0 {
+			l.Until = c.leaseEnd(ex)
+			ex.extend(l.Until)
 		}
-		ex.extend(l.Until)
 	}
 	c.Count.Looks++
 	return ex.Executor, l, true
@@ -222,6 +228,10 @@
 		c.forgetUnclaimed(now, ex)
 		return
 	}
+	if !ex.listed && len(ex.runs) == 0 && !ex.hasStrays(now) {
+		c.dropExecutor(ex)
+		return
+	}
 	if now.Before(ex.lapsedAt()) {
 		return
 	}
@@ -237,6 +247,12 @@
 	}
 }
 
+// hasStrays reports whether a start without an answer may still be carried out.
+func (ex *executor) hasStrays(now time.Time) bool {
+	ex.strays = slices.DeleteFunc(ex.strays, func(s stray) bool { return now.Sub(s.sent) > strayMemory })
+	return len(ex.strays) > 0
+}
+
 // forgetUnclaimed drops an executor that left the list and was never reached by this owner.
 func (c *Core) forgetUnclaimed(now time.Time, ex *executor) {
 	if !ex.listed && now.After(c.allLapsed()) {
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -17,7 +17,7 @@
 	followPause = 50 * time.Millisecond
 
 	// storePause is the pause between reads of the owner's row by one candidate.
-	storePause = 120 * time.Millisecond
+	storePause = 80 * time.Millisecond
 
 	// handicapRanks is the stagger of the smallest instance.
 	handicapRanks = 12
@@ -74,7 +74,7 @@
 			h.Log.WithField("owner", owner).WithError(err).Info("owner's process is gone")
 			return true
 		}
-		if ctx.Err() == nil && time.Since(last) > ownerSilence {
+		if ctx.Err() == nil && time.Since(last) >= ownerSilence {
 			h.Log.WithField("owner", owner).WithField("silent_ms", time.Since(last).Milliseconds()).
 				WithField("sent", outcome != peer.NotSent).WithError(err).Warn("owner does not answer")
 			h.client.Forget(owner)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// followHold is how long the owner holds an answer to a follower; four missed ones make it silent.
+	// followHold is how long the owner holds an answer to a follower.
 	followHold = 200 * time.Millisecond
 
 	// ownerSilence is how long the owner may be silent before a follower reads its row.
-	ownerSilence = 700 * time.Millisecond
+	ownerSilence = 500 * time.Millisecond
 
 	// readySilence is how long the owner may be out of reach before callers are sent elsewhere.
 	readySilence = time.Second
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,159 @@
+package ledger_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/ledger"
+	"github.com/daisyrack/daisyrack/pkg/table"
+)
+
+// store is the platform's store in memory; faults apply to the next transactions.
+type store struct {
+	rows    map[string]table.Row
+	version int64
+	now     time.Time
+	// lose are transactions that take effect without an answer, delay those that do so later.
+	lose, delay int
+	late        []table.Commit
+}
+
+func newStore() *store {
+	return &store{rows: make(map[string]table.Row), now: time.Unix(100, 0)}
+}
+
+func (s *store) apply(c table.Commit) bool {
+	for _, check := range c.Checks {
+		if s.rows[check.Key].Version != check.Version {
+			return false
+		}
+	}
+	s.version++
+	for _, p := range c.Puts {
+		s.rows[p.Key] = table.Row{Key: p.Key, Value: p.Value, Version: s.version}
+	}
+	for _, key := range c.Deletes {
+		delete(s.rows, key)
+	}
+	return true
+}
+
+func (s *store) send(_ context.Context, c table.Commit) (table.Result, time.Duration) {
+	if s.delay > 0 {
+		s.delay--
+		s.late = append(s.late, c)
+		return table.Result{Outcome: table.Unknown}, 0
+	}
+	ok := s.apply(c)
+	if s.lose > 0 {
+		s.lose--
+		return table.Result{Outcome: table.Unknown}, 0
+	}
+	if !ok {
+		return table.Result{Outcome: table.Conflict}, 0
+	}
+	return table.Result{Outcome: table.Committed, Version: s.version}, s.clock()
+}
+
+func (s *store) clock() time.Duration { return s.now.Sub(time.Unix(0, 0)) }
+
+func (s *store) scan(_ context.Context, prefix, after string, limit int) (ledger.Page, error) {
+	p := ledger.Page{Clock: s.clock()}
+	for key, r := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after && len(p.Rows) < limit {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, nil
+}
+
+func (s *store) ledger(name string, nonce uint64) *ledger.Ledger {
+	return &ledger.Ledger{
+		Name: name, Address: name + ":1", Nonce: nonce, Send: s.send, Scan: s.scan,
+		Now: func() time.Time { return s.now }, Pause: func(context.Context, time.Duration) {},
+	}
+}
+
+func take(t *testing.T, l *ledger.Ledger) int64 {
+	t.Helper()
+	o, err := l.Read(t.Context())
+	assert.NilError(t, err)
+	epoch, err := l.Take(t.Context(), o)
+	assert.NilError(t, err)
+	return epoch
+}
+
+func put(key, value string) []table.Put {
+	return []table.Put{{Key: key, Value: []byte(value)}}
+}
+
+func TestLostAnswerIsRecognised(t *testing.T) {
+	s := newStore()
+	a := s.ledger("a", 1)
+	assert.Equal(t, take(t, a), int64(1))
+	s.lose = 1
+	_, err := a.Commit(t.Context(), put("job/1", "x"), nil)
+	assert.NilError(t, err)
+	_, err = a.Commit(t.Context(), put("job/2", "y"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, string(s.rows["job/2"].Value), "y")
+}
+
+// A copy that the store carries out late must not undo what was written after it.
+func TestLateCopyHasNoEffect(t *testing.T) {
+	s := newStore()
+	a := s.ledger("a", 1)
+	take(t, a)
+	s.delay = 1
+	_, err := a.Commit(t.Context(), put("prog/1", "old"), nil)
+	assert.NilError(t, err)
+	_, err = a.Commit(t.Context(), put("prog/1", "new"), nil)
+	assert.NilError(t, err)
+	for _, c := range s.late {
+		assert.Assert(t, !s.apply(c))
+	}
+	assert.Equal(t, string(s.rows["prog/1"].Value), "new")
+}
+
+func TestDeposedOwnerWritesNothing(t *testing.T) {
+	s := newStore()
+	a, b := s.ledger("a", 1), s.ledger("b", 2)
+	take(t, a)
+	assert.Equal(t, take(t, b), int64(2))
+	_, err := a.Commit(t.Context(), put("job/1", "x"), nil)
+	assert.Assert(t, errors.Is(err, ledger.ErrDeposed))
+	_, ok := s.rows["job/1"]
+	assert.Assert(t, !ok)
+}
+
+// A restarted instance of the same name does not take its former life's row for its own commit.
+func TestRestartedInstanceIsAnotherOwner(t *testing.T) {
+	s := newStore()
+	former, next := s.ledger("a", 1), s.ledger("a", 2)
+	take(t, former)
+	assert.Equal(t, take(t, next), int64(2))
+	_, err := former.Commit(t.Context(), nil, nil)
+	assert.Assert(t, errors.Is(err, ledger.ErrDeposed))
+}
+
+func TestAgeIsToldByTheStoresClock(t *testing.T) {
+	s := newStore()
+	a := s.ledger("a", 1)
+	take(t, a)
+	s.now = s.now.Add(300 * time.Millisecond)
+	_, err := a.Commit(t.Context(), nil, nil)
+	assert.NilError(t, err)
+	s.now = s.now.Add(200 * time.Millisecond)
+	o, err := s.ledger("b", 2).Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, o.Age(), 200*time.Millisecond)
+	assert.NilError(t, a.Resign(t.Context()))
+	o, err = s.ledger("b", 2).Read(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, o.Vacant())
+}
