Try a waiting step only on executors with new room; look again once ends are stored

Causes: on the grown fleet the owner went through all waiting steps and tickets at each event (61% of its time on the emulated load), and an executor that lists an end answers the next look at once, every 15 ms until the end is stored.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -193,6 +193,7 @@
 func (c *Core) Advised(now time.Time, q *Question, tickets []fleet.Ticket, valid time.Duration, ok bool) {
 	w := q.work
 	w.asking = false
+	w.untried = true
 	if !ok {
 		w.askAfter = now.Add(adviceRetry)
 		return
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -52,6 +52,8 @@
 
 	// works are the steps with tasks to start, in the order in which they are served.
 	works []*work
+	// freed are the executors that may have room since the last decision.
+	freed []*executor
 	// timed are the jobs with occurrences that are not due yet.
 	timed map[string]*job
 
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -37,6 +37,9 @@
 	// relistPause is the pause before the instance list is read again after an error.
 	relistPause = 200 * time.Millisecond
 
+	// storedWait bounds the wait for a commit before an executor is looked at again.
+	storedWait = 100 * time.Millisecond
+
 	// slowCommit is what is told of in the log; a commit usually takes 12 ms.
 	slowCommit = 150 * time.Millisecond
 
@@ -84,16 +87,18 @@
 	mail       chan func(now time.Time)
 	done       chan struct{}
 	committing bool
-	renewedAt  time.Time
-	toldSlow   time.Time
-	lanes      map[string]*lane
-	looking    map[string]bool
-	advising   map[string]bool
-	restAfter  map[string]time.Time
-	longCalls  int
-	policy     *fleet.Policy
-	wg         sync.WaitGroup
-	loaded     chan struct{}
+	// stored is closed and replaced with each commit.
+	stored    chan struct{}
+	renewedAt time.Time
+	toldSlow  time.Time
+	lanes     map[string]*lane
+	looking   map[string]bool
+	advising  map[string]bool
+	restAfter map[string]time.Time
+	longCalls int
+	policy    *fleet.Policy
+	wg        sync.WaitGroup
+	loaded    chan struct{}
 
 	storeNear   atomic.Bool
 	lastWaiting atomic.Pointer[map[string]int64]
@@ -110,6 +115,7 @@
 	d.mail = make(chan func(time.Time), mailbox)
 	d.done = make(chan struct{})
 	d.loaded = make(chan struct{})
+	d.stored = make(chan struct{})
 	d.lanes = make(map[string]*lane)
 	d.looking = make(map[string]bool)
 	d.advising = make(map[string]bool)
@@ -345,6 +351,8 @@
 			}
 			d.core.Proven(sent)
 			d.core.Committed(now, b)
+			close(d.stored)
+			d.stored = make(chan struct{})
 		})
 	})
 }
@@ -395,10 +403,14 @@
 		ans := d.Look(callCtx, e, look)
 		cancel()
 		var pause time.Duration
+		var stored chan struct{}
 		answered := make(chan struct{})
 		ok = d.post(func(now time.Time) {
 			d.core.Looked(now, sent, id, ans)
 			pause = d.core.LookPause(id)
+			if d.core.EndsUnstored(id) {
+				stored = d.stored
+			}
 			close(answered)
 		})
 		if !ok || !wait(ctx, d.done, answered) {
@@ -409,6 +421,15 @@
 			return
 		case <-time.After(pause):
 		}
+		if stored != nil {
+			// Until its ends are stored the executor lists them again at once.
+			select {
+			case <-ctx.Done():
+				return
+			case <-stored:
+			case <-time.After(storedWait):
+			}
+		}
 	}
 }
 
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -75,6 +75,9 @@
 	// strays are starts without an answer that may still be carried out.
 	strays []stray
 
+	// freed is set while the executor waits for the next decision with room.
+	freed bool
+
 	// strangers is the number of runs that were listed last and whose need is not known.
 	strangers int
 
@@ -140,6 +143,7 @@
 // cordon keeps new tasks away from executors that must not get any.
 func (c *Core) cordon(ex *executor) {
 	c.room.Cordon(ex.ID, ex.Draining || !ex.claimed || ex.misses >= silentAfter || !ex.stored)
+	c.free(ex)
 }
 
 // usable reports whether the executor may get a task now.
@@ -208,6 +212,12 @@
 	return pausePerLook
 }
 
+// EndsUnstored reports whether the executor still lists ends that were applied.
+func (c *Core) EndsUnstored(id string) bool {
+	ex := c.execs[id]
+	return ex != nil && ex.misses == 0 && ex.applied > ex.forget
+}
+
 // shared reports whether fillers run beside tasks with a target.
 func (ex *executor) shared() bool {
 	var target, filler bool
@@ -221,6 +231,10 @@
 
 // checkLease gives up what ran on an executor whose lease has ended without a word.
 func (c *Core) checkLease(now time.Time, ex *executor) {
+	if !ex.badUntil.IsZero() && !now.Before(ex.badUntil) {
+		ex.badUntil = time.Time{}
+		c.free(ex)
+	}
 	if ex.claimed && ex.misses == 0 {
 		return
 	}
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -15,7 +15,7 @@
 const (
 	// endsDelay is how long ends wait for other reasons to commit; executors repeat them
 	// until they are stored.
-	endsDelay = 250 * time.Millisecond
+	endsDelay = 40 * time.Millisecond
 
 	// keepEnded is how long a job that has ended is kept, above the time for which callers
 	// may ask for its state.
--- /dev/null
+++ b/internal/cell/load_test.go
@@ -0,0 +1,115 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/daisyrack/daisyrack/internal/cell"
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/flow"
+	"github.com/daisyrack/daisyrack/pkg/place"
+)
+
+// load is one kind of request, as it arrives at a cell.
+type load struct {
+	queue    string
+	perS     float64
+	steps    int
+	count    int
+	estimate time.Duration
+	cpu      int64
+	spec     func(*flow.Step)
+}
+
+// advisers is the number of calls of the policy service at the same time.
+const advisers = 36
+
+// grownFleet is a world with 350 executors and a policy service.
+func grownFleet(t testing.TB, seed uint64) *world {
+	w := newWorld(t, seed, 0)
+	w.goodShare = 0.5
+	for i := range w.policy.Queues {
+		q := &w.policy.Queues[i]
+		q.Advice = &fleet.Advice{Decide: 26 * time.Millisecond, PerExecutor: 364 * time.Microsecond, Valid: 2500 * time.Millisecond}
+		if q.Name == slowQueue {
+			q.Advice = &fleet.Advice{Decide: 507 * time.Millisecond, PerExecutor: 7 * time.Millisecond, Valid: 2500 * time.Millisecond}
+		}
+	}
+	for i := range 350 {
+		x := w.addExecutor(fmt.Sprintf("x%03d", i))
+		x.Capacity = place.Resources{CPUMillis: 16000, MemoryMB: 65536}
+	}
+	return w
+}
+
+// arrive hands in jobs of one kind for a while.
+func (w *world) arrive(o *owner, l load, d time.Duration) {
+	end := w.now.Add(d)
+	var next func()
+	next = func() {
+		if w.now.After(end) {
+			return
+		}
+		spec := flow.Spec{Queue: l.queue, Text: "text"}
+		for i := range l.steps {
+			s := flow.Step{
+				Count: l.count, Need: place.Resources{CPUMillis: l.cpu, MemoryMB: 1000}, Estimate: l.estimate,
+			}
+			if i > 0 {
+				s.After = []int{i - 1}
+			}
+			if l.spec != nil {
+				l.spec(&s)
+			}
+			spec.Steps = append(spec.Steps, s)
+		}
+		w.submitted++
+		w.submit(o, fmt.Sprintf("l%05d", w.submitted), spec)
+		w.after(time.Duration(w.rng.ExpFloat64()/l.perS*float64(time.Second)), next)
+	}
+	w.after(0, next)
+}
+
+func grownLoads() []load {
+	return []load{
+		{queue: testQueue, perS: 44, steps: 2, count: 10, estimate: 640 * time.Millisecond, cpu: 2200},
+		{queue: slowQueue, perS: 4.6, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500},
+	}
+}
+
+// inObjective returns how many jobs ended by their objective, of all that were handed in.
+func (w *world) inObjective(o *owner, queue string) (good, all int) {
+	for id, at := range w.ended {
+		spec := specs[w.t.Name()+id]
+		q := w.policy.Queue(spec.Queue)
+		if spec.Queue != queue {
+			continue
+		}
+		all++
+		if o.core.State(id).State == flow.Completed &&
+			at.Sub(spec.Accepted) <= time.Duration(q.Stretch*float64(spec.Chain()))+q.Slack {
+			good++
+		}
+	}
+	return good, all
+}
+
+func BenchmarkOwnerOfTheGrownFleet(b *testing.B) {
+	for range b.N {
+		w := grownFleet(b, 1)
+		o := w.takeOver()
+		w.run(time.Second)
+		for _, l := range grownLoads() {
+			w.arrive(o, l, 20*time.Second)
+		}
+		w.arrive(o, load{queue: slowQueue, perS: 8, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500}, 6*time.Second)
+		begun := time.Now()
+		w.run(20 * time.Second)
+		b.ReportMetric(time.Since(begun).Seconds()/20, "cores")
+		b.ReportMetric(float64(o.core.Count.Starts)/20, "starts/s")
+		b.ReportMetric(float64(o.core.Count.Looks)/20, "looks/s")
+	}
+}
+
+var _ = cell.Accepted
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -37,6 +37,9 @@
 	for i := range ans.Ends {
 		c.applyEnd(now, ex, &ans.Ends[i])
 	}
+	if ex.strangers > 0 {
+		c.free(ex)
+	}
 	ex.strangers = 0
 	for i := range ans.Runs {
 		c.applyRun(now, ex, &ans.Runs[i])
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -79,6 +79,7 @@
 	}
 	delete(r.ex.runs, r.key)
 	c.room.Release(r.key)
+	c.free(r.ex)
 	c.busy[r.job.priority] -= r.spec().Counted().CPUMillis
 	r.work.onExecutor[r.ex.ID]--
 	runs := r.job.runs[r.task]
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -45,7 +45,9 @@
 	asking     bool
 	askAfter   time.Time
 	onExecutor map[string]int
-	avoid      map[string]int
+	// untried is set when all executors have to be looked at.
+	untried bool
+	avoid   map[string]int
 }
 
 // ticket allows the step on one life of an executor.
@@ -130,7 +132,11 @@
 
 // enqueue puts the work into the order in which steps are served.
 func (c *Core) enqueue(w *work) {
-	if w.queued || len(w.pending) == 0 || w.job.State.Final() {
+	if len(w.pending) == 0 || w.job.State.Final() {
+		return
+	}
+	w.untried = true
+	if w.queued {
 		return
 	}
 	w.queued = true
@@ -164,20 +170,43 @@
 	return a.step.Occurrence < b.step.Occurrence || a.step.Occurrence == b.step.Occurrence && a.step.Step < b.step.Step
 }
 
-// Schedule starts the tasks for which there is room, in order.
+// Schedule starts the tasks for which there is room, in order. A step that found no room is
+// tried again on the executors that have room since, or when it has new tickets or tasks.
 func (c *Core) Schedule(now time.Time) {
-	for _, w := range slices.Clone(c.works) {
+	freed := c.freed
+	c.freed = nil
+	for _, ex := range freed {
+		ex.freed = false
+	}
+	c.works = slices.DeleteFunc(c.works, func(w *work) bool {
 		if w.job.accepted && len(w.pending) > 0 {
-			c.serve(now, w)
-		}
-		if len(w.pending) == 0 && w.queued {
-			c.dropWork(w)
+			c.serve(now, w, freed)
 		}
+		w.queued = len(w.pending) > 0
+		return !w.queued
+	})
+}
+
+// free notes that an executor may have room for tasks that found none.
+func (c *Core) free(ex *executor) {
+	if !ex.freed {
+		ex.freed = true
+		c.freed = append(c.freed, ex)
 	}
 }
 
-func (c *Core) serve(now time.Time, w *work) {
-	candidates := c.candidates(now, w)
+func (c *Core) serve(now time.Time, w *work, freed []*executor) {
+	if !c.mayGrow(w, 1) {
+		w.untried = true
+		return
+	}
+	var candidates []place.Candidate
+	if w.untried || w.spec.Gang {
+		candidates = c.candidates(now, w)
+	} else {
+		candidates = c.candidatesAmong(now, w, freed)
+	}
+	w.untried = false
 	if len(candidates) == 0 {
 		return
 	}
@@ -188,6 +217,7 @@
 	for len(w.pending) > 0 {
 		index := w.pending[0]
 		if !c.mayGrow(w, 1) {
+			w.untried = true
 			return
 		}
 		number := c.number(w.job, c.taskOf(w, index))
@@ -273,16 +303,31 @@
 		}
 		return out
 	}
-	for id, t := range w.tickets {
-		ex := c.execs[id]
-		if ex == nil || t.life != ex.life || now.Add(ticketMargin).After(t.until) || !c.mayRun(now, w, ex) {
-			continue
+	for id := range w.tickets {
+		if ex := c.execs[id]; ex != nil && c.allowed(now, w, ex) && c.mayRun(now, w, ex) {
+			out = append(out, place.Candidate{Worker: id, Penalty: penalty(w, ex)})
 		}
-		out = append(out, place.Candidate{Worker: id, Penalty: penalty(w, ex)})
 	}
 	return out
 }
 
+// candidatesAmong returns those of the given executors that may run the step now.
+func (c *Core) candidatesAmong(now time.Time, w *work, among []*executor) []place.Candidate {
+	var out []place.Candidate
+	for _, ex := range among {
+		if (w.queue.Advice == nil || c.allowed(now, w, ex)) && c.mayRun(now, w, ex) {
+			out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
+		}
+	}
+	return out
+}
+
+// allowed reports whether the step has a ticket for the executor that can still be used.
+func (c *Core) allowed(now time.Time, w *work, ex *executor) bool {
+	t, ok := w.tickets[ex.ID]
+	return ok && t.life == ex.life && !now.Add(ticketMargin).After(t.until)
+}
+
 // mayRun reports whether the executor can be used for the step, whatever its room.
 func (c *Core) mayRun(now time.Time, w *work, ex *executor) bool {
 	if !c.usable(now, ex) || ex.Service != w.queue.Service || !ex.HasLabel(w.spec.Label) {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -3,9 +3,11 @@
 import (
 	"container/heap"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +23,7 @@
 
 // world plays executors, store and policy service for owners, in virtual time.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	rng    *rand.Rand
 	now    time.Time
 	events eventQueue
@@ -38,6 +40,12 @@
 	// lateShare of the orders get no answer and are carried out up to 8 s later.
 	lateShare float64
 
+	// goodShare is the share of executors that the policy service allows; 0 means no service.
+	goodShare float64
+	submitted int
+	// ended is when jobs were shown in a final state.
+	ended map[string]time.Time
+
 	history map[fleet.Task][]*span
 	broken  []string
 }
@@ -84,6 +92,7 @@
 	cut     map[string]bool // executors out of reach
 	dead    bool
 	busy    bool
+	asking  int
 	away    bool // the store is out of reach
 	looking map[string]bool
 }
@@ -118,12 +127,12 @@
 	stopTime   = 500 * time.Millisecond
 )
 
-func newWorld(t *testing.T, seed uint64, executors int) *world {
+func newWorld(t testing.TB, seed uint64, executors int) *world {
 	t.Helper()
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
-		history: make(map[fleet.Task][]*span),
+		history: make(map[fleet.Task][]*span), ended: make(map[string]time.Time),
 		policy: &fleet.Policy{Version: 1, Queues: []fleet.Queue{
 			{Name: testQueue, Service: testPool, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
 			{Name: slowQueue, Service: testPool, Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
@@ -263,12 +272,41 @@
 		return
 	}
 	o.core.Schedule(w.now)
+	o.ask()
 	for _, order := range o.core.Orders() {
 		o.send(order)
 	}
 	o.commit()
 }
 
+// ask plays the policy service, which decides by a hash of step and executor.
+func (o *owner) ask() {
+	w := o.w
+	for w.goodShare > 0 && o.asking < advisers {
+		q := o.core.NextQuestion(w.now, o.asking > advisers*3/4)
+		if q == nil {
+			return
+		}
+		o.asking++
+		a := w.policy.Queue(specs[w.t.Name()+q.Step.Job].Queue).Advice
+		w.after(a.Decide+a.PerExecutor*time.Duration(len(q.Executors)), func() {
+			o.asking--
+			var good []fleet.Ticket
+			for _, id := range q.Executors {
+				h := fnv.New32a()
+				_, _ = fmt.Fprint(h, q.Step, id)
+				if float64(h.Sum32()%1000) < w.goodShare*1000 {
+					good = append(good, fleet.Ticket{Executor: id, Value: "t"})
+				}
+			}
+			if !o.dead {
+				o.core.Advised(w.now, q, good, a.Valid, true)
+				o.act()
+			}
+		})
+	}
+}
+
 func (o *owner) commit() {
 	w := o.w
 	due, _ := o.core.CommitDue(w.now)
@@ -309,6 +347,11 @@
 			o.busy = false
 			o.core.Proven(sent)
 			o.core.Committed(w.now, b)
+			for _, key := range b.Deletes {
+				if id, ok := strings.CutPrefix(key, ledger.JobPrefix); ok {
+					w.ended[id] = w.now
+				}
+			}
 			o.act()
 		})
 	}
