--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -169,6 +169,7 @@
 	return nil
 }
 
+// spawn runs what has to be over before the next term, since it uses the ledger.
 func (d *Driver) spawn(f func()) {
 	d.wg.Go(f)
 }
@@ -233,7 +234,7 @@
 	for _, id := range d.core.Executors() {
 		if !d.looking[id] {
 			d.looking[id] = true
-			d.spawn(func() { d.lookAt(ctx, id) })
+			go d.lookAt(ctx, id)
 		}
 	}
 }
@@ -254,14 +255,14 @@
 		o := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		l.busy++
-		d.spawn(func() {
+		go func() {
 			ans := d.carryOut(ctx, o)
 			d.post(func(now time.Time) {
 				l.busy--
 				d.core.Ordered(now, o, ans)
 				d.pump(ctx, l)
 			})
-		})
+		}()
 	}
 }
 
@@ -293,7 +294,7 @@
 		if q.Long {
 			d.longCalls++
 		}
-		d.spawn(func() { d.askThrough(ctx, adviser, q) })
+		go d.askThrough(ctx, adviser, q)
 	}
 }
 
