--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -136,6 +136,12 @@
 	return !h.leaving && time.Since(h.heard) < readySilence
 }
 
+// Owns reports whether this instance owns the cell.
+func (h *Host) Owns() bool {
+	d := h.term.Load()
+	return d != nil && d.StoreNear()
+}
+
 // setOwner notes who owns the cell and wakes requests that wait for it.
 func (h *Host) setOwner(address string, epoch int64) {
 	h.mu.Lock()
