--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -36,8 +36,8 @@
 	// retryPause is the pause before a request is handed to the same owner again.
 	retryPause = 40 * time.Millisecond
 
-	// tryTimeout bounds one hand-over to the owner; a slow store answers within it.
-	tryTimeout = 1200 * time.Millisecond
+	// tryTimeout bounds one hand-over to the owner; two commits in a slow store take 2 s.
+	tryTimeout = 2500 * time.Millisecond
 
 	// rejectWait is what callers are told to wait when there is no owner.
 	rejectWait = time.Second
@@ -89,7 +89,7 @@
 		if d := h.term.Load(); d != nil {
 			reply = h.tryLocal(ctx, d, local)
 		} else if owner != "" && owner != h.Address {
-			reply = h.tryOwner(ctx, owner, call)
+			reply = h.tryOwner(ctx, owner, changed, call)
 		}
 		switch reply.Outcome {
 		case cell.NotOwner:
@@ -137,10 +137,17 @@
 	return cell.Reply{Outcome: cell.Rejected, Reason: "no owner within reach", RetryAfter: rejectWait}
 }
 
-// tryOwner hands a call to another instance once.
-func (h *Host) tryOwner(ctx context.Context, owner string, call *wire.JobCall) cell.Reply {
+// tryOwner hands a call to another instance once, until that one no longer is the owner.
+func (h *Host) tryOwner(ctx context.Context, owner string, changed <-chan struct{}, call *wire.JobCall) cell.Reply {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	res, outcome, err := h.client.Call(ctx, owner, &wire.Request{Body: &wire.Request_JobCall{JobCall: call}})
 	r := res.GetJobReply()
 	switch {
