Reject jobs at once when the store refuses their commit

The ledger now gives a commit up that was refused for 300 ms without a try of unknown outcome; its new jobs are rejected with a time to return, the rest is committed later.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -67,6 +67,9 @@
 	// provenWall is the same by the time of day, which also counts while the machine is suspended.
 	provenWall time.Time
 
+	// refuses is set while the store refuses commits.
+	refuses bool
+
 	orders  []Order
 	keep    keeping
 	waiting map[string]int64
@@ -244,9 +247,10 @@
 	return now.Sub(c.proven) < ledger.StaleAfter && now.Round(0).Sub(c.provenWall) < ledger.StaleAfter
 }
 
-// StoreAway reports whether the store has been silent for so long that work is rejected.
+// StoreAway reports whether the store refuses commits, or has been silent for so long that work
+// is rejected.
 func (c *Core) StoreAway(now time.Time) bool {
-	return now.Sub(c.proven) > storeSilence
+	return c.refuses || now.Sub(c.proven) > storeSilence
 }
 
 // Tick does what is due by time and decides on starts.
--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -102,3 +102,27 @@
 	assert.Equal(t, o.core.State("a").Outcome, cell.Absent)
 	assert.Equal(t, len(w.history), 0)
 }
+
+// What a store refuses certainly did not happen, so the caller is told at once.
+func TestRefusedCommitRejectsItsJobs(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	o := w.takeOver()
+	w.run(time.Second)
+	running := w.submit(o, "a", oneStep(testQueue, 2, 300*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, running.Outcome, cell.Accepted)
+	w.storeRefuses = true
+	reply := w.submit(o, "b", oneStep(testQueue, 1, time.Second))
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, reply.Outcome, cell.Rejected)
+	w.run(time.Second)
+	assert.Equal(t, o.core.State("a").State, flow.Running, "a final state is shown before it is stored")
+	w.storeRefuses = false
+	w.run(time.Second)
+	assert.Equal(t, o.core.State("a").State, flow.Completed)
+	again := w.submit(o, "b", oneStep(testQueue, 1, 100*time.Millisecond))
+	w.run(time.Second)
+	assert.Equal(t, again.Outcome, cell.Accepted)
+	assert.Equal(t, o.core.State("b").State, flow.Completed)
+	w.expectClean()
+}
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -347,7 +347,7 @@
 			d.committing = false
 			d.noteCommit(now.Sub(d.renewedAt), b)
 			if err != nil {
-				d.commitFailed(err)
+				d.commitFailed(now, b, err)
 				return
 			}
 			d.core.Proven(sent)
@@ -370,7 +370,11 @@
 		WithField("finals", len(b.final)).Warn("commit took long")
 }
 
-func (d *Driver) commitFailed(err error) {
+func (d *Driver) commitFailed(now time.Time, b *Batch, err error) {
+	if errors.Is(err, ledger.ErrRefused) {
+		d.core.Refused(now, b)
+		return
+	}
 	if errors.Is(err, ledger.ErrDeposed) {
 		d.Log.WithError(err).Warn("commit rejected: another instance owns the cell")
 		d.core.Deposed = true
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -186,8 +187,46 @@
 	return nil
 }
 
+// Refused takes a batch back of which nothing was stored: its new jobs are rejected, the rest is
+// committed again.
+func (c *Core) Refused(now time.Time, b *Batch) {
+	if !c.refuses {
+		c.Log.WithField("silent_ms", now.Sub(c.proven).Milliseconds()).WithField("accepts", len(b.created)).
+			Warn("store refuses commits: new jobs are rejected")
+	}
+	c.refuses = true
+	k := &c.keep
+	for _, j := range b.dirty {
+		if !j.State.Final() {
+			k.changed(j)
+		}
+	}
+	k.final = append(slices.Clone(b.final), k.final...)
+	for _, j := range b.created {
+		c.reject(now, j)
+	}
+	for _, key := range b.Deletes {
+		if id, ok := strings.CutPrefix(key, ledger.ProgressPrefix); ok {
+			k.drops = append(k.drops, id)
+		}
+	}
+	for _, id := range b.fleet {
+		k.newUsed[id] = true
+	}
+	k.fleet = k.fleet || b.putsFleet()
+	k.ends = k.ends || b.forget != nil
+}
+
+func (b *Batch) putsFleet() bool {
+	return slices.ContainsFunc(b.Puts, func(p table.Put) bool { return p.Key == ledger.FleetKey })
+}
+
 // Committed does what had to wait for the commit.
 func (c *Core) Committed(now time.Time, b *Batch) {
+	if c.refuses {
+		c.refuses = false
+		c.Log.Info("store takes commits again")
+	}
 	for _, id := range b.fleet {
 		if ex := c.execs[id]; ex != nil {
 			ex.stored = true
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -42,29 +42,34 @@
 // rejectFresh rejects the jobs that are in no commit yet: nothing of them is stored.
 func (c *Core) rejectFresh(now time.Time) {
 	for _, j := range c.keep.fresh {
-		c.Count.Rejected++
-		c.Log.WithField("job", j.ID).WithField("store_silent_ms", now.Sub(c.proven).Milliseconds()).
-			Info("job rejected before its commit: store does not answer")
-		for _, w := range j.works {
-			c.dropWork(w)
-		}
-		delete(c.jobs, j.ID)
-		delete(c.timed, j.ID)
-		delete(c.keep.dirty, j.ID)
-		c.keep.final = slices.DeleteFunc(c.keep.final, func(other *job) bool { return other == j })
-		if !j.Started {
-			c.waiting[j.Spec.Queue]--
-		}
-		for _, reply := range j.submits {
-			reply(Reply{Outcome: Rejected, Reason: "store does not answer", RetryAfter: rejectPause})
-		}
-		for _, reply := range j.cancels {
-			reply(Reply{Outcome: Absent})
-		}
+		c.reject(now, j)
 	}
 	c.keep.fresh = nil
 }
 
+// reject forgets a job of which nothing is stored and nothing has run.
+func (c *Core) reject(now time.Time, j *job) {
+	c.Count.Rejected++
+	c.Log.WithField("job", j.ID).WithField("store_silent_ms", now.Sub(c.proven).Milliseconds()).
+		WithField("store_refuses", c.refuses).Info("job rejected before it was stored")
+	for _, w := range j.works {
+		c.dropWork(w)
+	}
+	delete(c.jobs, j.ID)
+	delete(c.timed, j.ID)
+	delete(c.keep.dirty, j.ID)
+	c.keep.final = slices.DeleteFunc(c.keep.final, func(other *job) bool { return other == j })
+	if !j.Started {
+		c.waiting[j.Spec.Queue]--
+	}
+	for _, reply := range j.submits {
+		reply(Reply{Outcome: Rejected, Reason: "store does not answer", RetryAfter: rejectPause})
+	}
+	for _, reply := range j.cancels {
+		reply(Reply{Outcome: Absent})
+	}
+}
+
 // repeat answers a request with an id that is known.
 func (c *Core) repeat(j *job, reply func(Reply)) {
 	if j.accepted {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -35,6 +35,8 @@
 	policy *fleet.Policy
 	owners []*owner
 
+	// storeRefuses answers all commits with a refusal.
+	storeRefuses bool
 	// storeDown keeps all commits without an answer.
 	storeDown bool
 	// lateShare of the orders get no answer and are carried out up to 8 s later.
@@ -328,6 +330,13 @@
 		if o.dead {
 			return
 		}
+		if w.storeRefuses {
+			w.after(messageLag, func() {
+				o.busy = false
+				o.core.Refused(w.now, b)
+			})
+			return
+		}
 		if w.storeDown || o.away {
 			w.after(100*time.Millisecond, func() { sent = w.now; try() })
 			return
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,6 +36,10 @@
 	// scanLimit is the number of rows read with one call.
 	scanLimit = 500
 
+	// refusedFor is how long the store must refuse a commit before it is given up; a moment of
+	// too many calls passes sooner.
+	refusedFor = 300 * time.Millisecond
+
 	// retryPause is the wait before a commit without an answer is repeated.
 	retryPause = 30 * time.Millisecond
 )
@@ -43,6 +47,10 @@
 // ErrDeposed means that another instance owns the cell.
 var ErrDeposed = errors.New("ledger: another instance owns the cell")
 
+// ErrRefused means that the store has refused a commit for a while: nothing of it took effect
+// or ever will.
+var ErrRefused = errors.New("ledger: the store refuses commits")
+
 // Page is the answer to a scan.
 type Page struct {
 	Rows []table.Row
@@ -145,7 +153,8 @@
 
 // Commit writes the rows together with the owner's row, repeating a transaction without an
 // answer until its outcome is known. It returns when the successful try was sent. ErrDeposed is
-// final; any other error means that ctx has ended and the outcome is unknown.
+// final, after ErrRefused the rows can be committed again, and any other error means that ctx
+// has ended and the outcome is unknown.
 func (l *Ledger) Commit(ctx context.Context, puts []table.Put, deletes []string) (time.Time, error) {
 	l.commit++
 	return l.write(ctx, l.Name, l.Address, puts, deletes)
@@ -172,10 +181,18 @@
 		Puts:    append([]table.Put{{Key: OwnerKey, Value: value}}, puts...),
 		Deletes: deletes,
 	}
+	begun := l.Now()
+	certain := true
 	for {
 		sent := l.Now()
 		res, clock := l.Send(ctx, c)
 		switch res.Outcome {
+		case table.Unknown:
+			certain = false
+		case table.Refused:
+			if certain && l.Now().Sub(begun) >= refusedFor {
+				return time.Time{}, errors.Wrapf(ErrRefused, "commit %d: %v", l.commit, res.Err)
+			}
 		case table.Committed:
 			l.version = res.Version
 			l.setClock(clock)
