--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -316,14 +316,19 @@
 	return r
 }
 
-// relayStagger is the pause before a call to the store is tried through one more instance.
-const relayStagger = 120 * time.Millisecond
+// readStagger and commitStagger are the pauses before a call to the store is tried through one
+// more instance. Copies of a transaction wait behind each other in a slow store.
+const (
+	readStagger   = 80 * time.Millisecond
+	commitStagger = 900 * time.Millisecond
+)
 
 // relayWidth bounds the instances through which one call is tried.
 const relayWidth = 4
 
-// Relay makes a call to the store through followers, one after another until one has an answer;
-// status 0 means that none has, and sent tells whether the call may have reached the store.
+// Relay makes a call to the store through followers, one after another until one is served. A
+// refusal is returned only if all were refused; status 0 means that there is no answer, and sent
+// tells whether a copy may have reached the store without being refused.
 func (h *Host) Relay(ctx context.Context, method, target string, body []byte) (status int, answer []byte, sent bool) {
 	through := h.relays()
 	if len(through) == 0 {
@@ -338,6 +343,10 @@
 	}
 	results := make(chan result, len(through))
 	started, open := 0, 0
+	pause := readStagger
+	if method != http.MethodGet {
+		pause = commitStagger
+	}
 	stagger := time.NewTimer(0)
 	defer stagger.Stop()
 	for {
@@ -349,7 +358,7 @@
 			a := through[started]
 			started++
 			open++
-			stagger.Reset(relayStagger)
+			stagger.Reset(pause)
 			go func() {
 				res, outcome, _ := h.client.Call(ctx, a, &wire.Request{Body: &wire.Request_StoreCall{StoreCall: &wire.StoreCall{
 					Method: method, Target: target, Body: body,
@@ -358,15 +367,22 @@
 			}()
 		case r := <-results:
 			open--
-			sent = sent || r.outcome != peer.NotSent
-			if r.reply.GetStatus() != 0 && r.reply.GetStatus() != http.StatusServiceUnavailable {
+			refusal := r.reply.GetStatus() == http.StatusServiceUnavailable || r.reply.GetStatus() == http.StatusTooManyRequests
+			sent = sent || r.outcome != peer.NotSent && !refusal
+			if refusal {
+				status = int(r.reply.GetStatus())
+			}
+			if r.reply.GetStatus() != 0 && !refusal {
 				h.mu.Lock()
 				h.relay = r.address
 				h.mu.Unlock()
 				return int(r.reply.GetStatus()), r.reply.GetBody(), true
 			}
 			if open == 0 && started == len(through) {
-				return 0, nil, sent
+				if sent {
+					status = 0
+				}
+				return status, nil, sent
 			}
 			stagger.Reset(0)
 		case <-ctx.Done():
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,6 +40,18 @@
 	// too many calls passes sooner.
 	refusedFor = 300 * time.Millisecond
 
+	// firstCheck is how long an answer may take before the owner's row is read; a transaction
+	// usually takes 12 ms.
+	firstCheck = 120 * time.Millisecond
+
+	// checkPause is the time between two such reads.
+	checkPause = 60 * time.Millisecond
+
+	// tryLeast and tryReads, in times of a read, bound one try: a transaction takes as long as
+	// three reads, and waits for its turn.
+	tryLeast = 100 * time.Millisecond
+	tryReads = 6
+
 	// retryPause is the wait before a commit without an answer is repeated.
 	retryPause = 30 * time.Millisecond
 )
@@ -185,7 +197,7 @@
 	certain := true
 	for {
 		sent := l.Now()
-		res, clock := l.Send(ctx, c)
+		res, clock := l.try(ctx, c)
 		switch res.Outcome {
 		case table.Unknown:
 			certain = false
@@ -207,18 +219,64 @@
 	}
 }
 
+// answered is the end of one try.
+type answered struct {
+	result table.Result
+	clock  time.Duration
+}
+
+// try makes one transaction. When its answer is late the owner's row tells whether it took
+// effect, and how slow the store is; a try that takes much longer than reads do ends as unknown.
+func (l *Ledger) try(ctx context.Context, c table.Commit) (table.Result, time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan answered, 1)
+	go func() {
+		res, clock := l.Send(ctx, c)
+		done <- answered{res, clock}
+	}()
+	begun := l.Now()
+	wait := firstCheck
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case a := <-done:
+			timer.Stop()
+			return a.result, a.clock
+		case <-timer.C:
+		}
+		read := l.Now()
+		o, err := l.Read(ctx)
+		took := l.Now().Sub(read)
+		switch {
+		case err == nil && l.mine(o):
+			return table.Result{Outcome: table.Committed, Version: o.Version}, o.Clock
+		case err == nil && o.Version != l.version:
+			return table.Result{Outcome: table.Conflict}, 0
+		case l.Now().Sub(begun) > max(tryLeast, tryReads*took), ctx.Err() != nil:
+			return table.Result{Outcome: table.Unknown, Err: errors.New("ledger: transaction without an answer")}, 0
+		}
+		wait = checkPause
+	}
+}
+
+// mine reports whether the row was written by the commit in progress.
+func (l *Ledger) mine(o *Owner) bool {
+	r := o.Record
+	return r.GetEpoch() == l.epoch && r.GetCommit() == l.commit && r.GetNonce() == l.Nonce
+}
+
 // afterConflict tells a copy of the same commit that took effect earlier from a new owner.
 func (l *Ledger) afterConflict(ctx context.Context, sent time.Time) (time.Time, error) {
 	for {
 		o, err := l.Read(ctx)
 		if err == nil {
-			r := o.Record
-			if r.GetEpoch() == l.epoch && r.GetCommit() == l.commit && r.GetNonce() == l.Nonce {
+			if l.mine(o) {
 				l.version = o.Version
 				l.setClock(o.Clock)
 				return sent, nil
 			}
-			return time.Time{}, errors.Wrapf(ErrDeposed, "epoch %d is held by %q", r.GetEpoch(), r.GetHolder())
+			return time.Time{}, errors.Wrapf(ErrDeposed, "epoch %d is held by %q", o.Record.GetEpoch(), o.Record.GetHolder())
 		}
 		if ctx.Err() != nil {
 			return time.Time{}, err
