Copy runs on silent or lagging executors where copies are allowed; keep new tasks from doubtful executors

Cause: an executor that goes dark gets new tasks until two looks have timed out, 1.5 to 3 s; half of the urgent jobs have a task on one of three dark executors. A start without an answer now keeps new tasks away until the next answer, looks are held 0.7 s, and steps that allow copies get a second run at once (TestCopiesOfTasksOnASilentExecutor).

--- a/internal/cell/chaos_test.go
+++ b/internal/cell/chaos_test.go
@@ -84,6 +84,7 @@
 	if w.rng.IntN(4) == 0 {
 		spec.Steps[0].PerExecutor = 2
 	}
+	spec.Steps[0].Copies = w.rng.IntN(3) == 0
 	if w.rng.IntN(2) == 0 {
 		spec.Steps = append(spec.Steps, flow.Step{
 			Count: 1 + w.rng.IntN(5), Need: place.Resources{CPUMillis: 1500}, After: []int{0},
--- a/internal/cell/control.go
+++ b/internal/cell/control.go
@@ -21,6 +21,11 @@
 	// a new pace takes effect after a tenth.
 	paceInterval = 700 * time.Millisecond
 
+	// lagLeast and lagFactor, in estimates, are how long a run may take before it is copied;
+	// estimates are off by half and more.
+	lagLeast  = 500 * time.Millisecond
+	lagFactor = 1.3
+
 	// slowWeight is the weight of one task in the learned slowness of an executor.
 	slowWeight = 0.15
 )
@@ -68,6 +73,43 @@
 	return pace
 }
 
+// copyRuns starts second runs of the tasks on an executor that does not answer, where copies
+// are allowed.
+func (c *Core) copyRuns(ex *executor) {
+	for _, r := range ex.runsNow() {
+		if r.spec().Copies {
+			c.copyRun(r)
+		}
+	}
+}
+
+// copyRun queues a second run of a task; the first one that is done counts.
+func (c *Core) copyRun(r *run) {
+	w := r.job.works[stepOf(r.task)]
+	if r.copied || r.stopping || w == nil || w.spec.Gang || len(r.job.runs[r.task]) > 1 {
+		return
+	}
+	r.copied = true
+	c.Count.Copies++
+	w.add(r.task.Index)
+	c.enqueue(w)
+}
+
+// lags reports whether a run, where copies are allowed, takes so much longer than estimated that
+// a second one is likely to be done sooner.
+func (c *Core) lags(now time.Time, r *run) bool {
+	spec := r.spec()
+	if !spec.Copies || r.copied || spec.Estimate <= 0 {
+		return false
+	}
+	elapsed := now.Sub(r.begun)
+	if elapsed < max(lagLeast, time.Duration(lagFactor*float64(spec.Estimate))) {
+		return false
+	}
+	left := float64(elapsed) * (100 - r.percent) / max(r.percent, 1)
+	return left > float64(spec.Estimate)
+}
+
 // learn updates what is known of an executor by the end of a run.
 func (c *Core) learn(now time.Time, r *run, kind fleet.EndKind) {
 	switch kind {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -84,7 +84,7 @@
 	Starts, Stops, Ends, Lost, Adopted, Resent       int64
 	AdviceAsked, AdviceGood                          int64
 	Looks, Silences                                  int64
-	Paced                                            int64
+	Paced, Copies                                    int64
 }
 
 // Order is what the core wants an executor to be told.
@@ -137,10 +137,12 @@
 	// stray is set when a copy of its start got no answer and may still be carried out.
 	stray    bool
 	stopping bool
-	ordered  bool // a start or stop is on its way
-	percent  float64
-	gauge    float64
-	pace     int
+	// copied is set when a second run of the task was asked for.
+	copied  bool
+	ordered bool // a start or stop is on its way
+	percent float64
+	gauge   float64
+	pace    int
 	// pacedAt is when the pace was last changed.
 	pacedAt time.Time
 	// moved is when percent last grew.
--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -126,3 +126,18 @@
 	assert.Equal(t, o.core.State("b").State, flow.Completed)
 	w.expectClean()
 }
+
+// Where copies are allowed a silent executor costs no more than its silence is noticed late.
+func TestCopiesOfTasksOnASilentExecutor(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	o := w.takeOver()
+	w.run(time.Second)
+	spec := oneStep(testQueue, 8, 400*time.Millisecond)
+	spec.Steps[0].Copies = true
+	w.submit(o, "a", spec)
+	w.run(100 * time.Millisecond)
+	w.execs["x0"].cut = true
+	w.run(3 * time.Second)
+	assert.Equal(t, o.core.State("a").State, flow.Completed)
+	w.expectClean()
+}
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -29,7 +29,7 @@
 	maxOrderTimeout = 1200 * time.Millisecond
 
 	// lookGrace is how long an answer may take beyond the time for which it may be held.
-	lookGrace = 500 * time.Millisecond
+	lookGrace = 350 * time.Millisecond
 
 	// lanes bounds the orders in progress at one executor, each on a connection of its own.
 	lanes = 2
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -16,7 +16,7 @@
 	silentAfter = 2
 
 	// holdWait is how long an executor may hold an answer until a run ends.
-	holdWait = time.Second
+	holdWait = 700 * time.Millisecond
 
 	// sharedWait is the same beside tasks with a target, whose response times change quickly.
 	sharedWait = 400 * time.Millisecond
@@ -60,6 +60,8 @@
 	stored bool
 	life   int64
 	misses int
+	// doubts is the number of starts without an answer since its last answer.
+	doubts int
 	runs   map[string]*run
 
 	// clock is its clock when the answer arrived at clockAt.
@@ -152,7 +154,7 @@
 	if c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
 		return false
 	}
-	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.stored && !now.Before(ex.badUntil)
+	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && ex.stored && !now.Before(ex.badUntil)
 }
 
 // leaseEnd returns the end of the lease that may be told now, on the executor's clock.
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -66,6 +66,7 @@
 func (c *Core) missed(ex *executor, ans fleet.Answer) {
 	ex.misses++
 	c.Count.Silences++
+	c.copyRuns(ex)
 	if ex.misses == silentAfter {
 		c.cordon(ex)
 		c.Log.WithField("executor", ex.ID).WithField("verdict", ans.Verdict.String()).WithField("cause", ans.Cause).
@@ -84,6 +85,10 @@
 	}
 	back := ex.misses >= silentAfter
 	ex.misses = 0
+	if ex.doubts > 0 {
+		ex.doubts = 0
+		c.free(ex)
+	}
 	if ex.claimed && !back {
 		return
 	}
@@ -239,6 +244,9 @@
 			r.moved = now
 		}
 		r.percent, r.gauge = l.Percent, l.Gauge
+		if c.lags(now, r) {
+			c.copyRun(r)
+		}
 		return
 	}
 	j := c.jobs[l.Task.Job]
