--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -111,9 +111,12 @@
 	earlier bool
 	// objective is the time until which the job earns its full credit.
 	objective time.Time
-	works     map[fleet.Step]*work
-	runs      map[fleet.Task][]*run
-	nextRun   map[fleet.Task]int64
+	// started, failed and lost count its runs; lastStart is the time of the last start.
+	started, failed, lost int
+	lastStart             time.Time
+	works                 map[fleet.Step]*work
+	runs                  map[fleet.Task][]*run
+	nextRun               map[fleet.Task]int64
 	// submits and cancels wait for their commits.
 	submits []func(Reply)
 	cancels []func(Reply)
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -245,7 +245,9 @@
 		j.shown = b.states[i]
 		c.Log.WithField("job", j.ID).WithField("state", j.shown.String()).
 			WithField("took_ms", now.Sub(j.Spec.Accepted).Milliseconds()).
-			WithField("late_ms", now.Sub(j.objective).Milliseconds()).Info("job ended")
+			WithField("late_ms", now.Sub(j.objective).Milliseconds()).
+			WithField("last_start_ms", j.sinceAccepted(j.lastStart)).WithField("runs", j.started).
+			WithField("failed_runs", j.failed).WithField("lost_runs", j.lost).Info("job ended")
 		j.submits = answer(j.submits)
 		j.cancels = answer(j.cancels)
 	}
@@ -256,6 +258,14 @@
 	}
 }
 
+// sinceAccepted returns the milliseconds from the acceptance to a time; -1 means that it never came.
+func (j *job) sinceAccepted(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return t.Sub(j.Spec.Accepted).Milliseconds()
+}
+
 // answer tells waiting callers that what they asked for is stored; it returns the empty list.
 func answer(replies []func(Reply)) []func(Reply) {
 	for _, reply := range replies {
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -168,6 +168,12 @@
 	if j == nil {
 		return
 	}
+	if e.Kind == fleet.Failed {
+		j.failed++
+		c.Log.WithField("job", j.ID).WithField("step", e.Task.Step).WithField("index", e.Task.Index).
+			WithField("run", e.Number).WithField("executor", ex.ID).WithField("executor_failures", ex.fails).
+			WithField("attempts", j.MaxAttempts).Info("run failed")
+	}
 	c.applyEffect(now, j, e.Task, e.Number, e.Kind, e.Checkpoint, r)
 }
 
@@ -292,6 +298,7 @@
 // lose gives up a run that can not run any more.
 func (c *Core) lose(now time.Time, r *run, why string) {
 	c.Count.Lost++
+	r.job.lost++
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", why).Info("run lost")
 	c.remove(r)
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -53,6 +53,8 @@
 	}
 	c.attach(r)
 	c.begun(now, w.job)
+	w.job.started++
+	w.job.lastStart = now
 	c.Count.Starts++
 	c.orders = append(c.orders, Order{Executor: ex.Executor, Start: r.start, run: r})
 }
