--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -31,6 +31,9 @@
 	// yieldMemory is how long an instance that gave the cell away does not take it back.
 	yieldMemory = 2 * time.Second
 
+	// contendLimit is how long an instance reads the row before it calls the former owner again.
+	contendLimit = 600 * time.Millisecond
+
 	// rowTimeout bounds a read of the owner's row, also from a slow store.
 	rowTimeout = 1200 * time.Millisecond
 
@@ -46,8 +49,12 @@
 		if owner != "" && owner != h.Address {
 			gone = h.follow(ctx, owner)
 		}
-		if ctx.Err() == nil {
-			h.contend(ctx, owner, gone)
+		// The former owner is called again only when its row is renewed or nothing else is
+		// known for a while: calls to an instance that is gone take as long as their time-out.
+		for begun := time.Now(); ctx.Err() == nil; {
+			if h.contend(ctx, owner, gone) || time.Since(begun) > contendLimit {
+				break
+			}
 		}
 	}
 	return nil
@@ -78,6 +85,7 @@
 			h.Log.WithField("owner", owner).WithField("silent_ms", time.Since(last).Milliseconds()).
 				WithField("sent", outcome != peer.NotSent).WithError(err).Warn("owner does not answer")
 			h.client.Forget(owner)
+			h.follows.Forget(owner)
 			return false
 		}
 		pause(ctx, followPause)
@@ -95,7 +103,7 @@
 	h.mu.Lock()
 	leaving := h.leaving
 	h.mu.Unlock()
-	res, outcome, err := h.client.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: &wire.Follow{
+	res, outcome, err := h.follows.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: &wire.Follow{
 		Name: h.Name, Address: h.Address, FailureDomain: h.Domain, ConfigVersion: version,
 		Weight: h.Weight, Leaving: leaving,
 	}}})
@@ -129,36 +137,40 @@
 	h.apply(p, "owner")
 }
 
-// contend reads the owner's row and takes the cell over if nobody renews it.
-func (h *Host) contend(ctx context.Context, former string, gone bool) {
+// contend reads the owner's row and takes the cell over if nobody renews it. It reports whether
+// there is an owner to follow.
+func (h *Host) contend(ctx context.Context, former string, gone bool) bool {
 	begun := time.Now()
 	row, err := h.readOwner(ctx)
 	stagger := max(rankStagger, staggerReads*time.Since(begun))
 	if err != nil {
 		h.Log.WithError(err).Debug("owner's row not read")
 		h.askOthers(ctx, former)
+		if owner, _, _ := h.known(); owner != "" && owner != former {
+			return true
+		}
 		pause(ctx, storePause)
-		return
+		return false
 	}
 	if h.mayTake(row, former, gone) && !h.isLeaving() && !h.isYielding() && h.Policy() != nil {
 		pause(ctx, time.Duration(h.rank(former))*stagger+h.handicap(stagger))
 		again, err := h.readOwner(ctx)
 		if err == nil && again.Version == row.Version {
 			h.own(ctx, again)
-			return
+			return true
 		}
 		if err == nil {
 			row = again
 		}
 	}
-	if a := row.Record.GetAddress(); a != "" && a != h.Address {
+	if a := row.Record.GetAddress(); a != "" && a != h.Address && (a != former || row.Age() <= ledger.StaleAfter) {
 		h.setOwner(a, row.Record.GetEpoch())
-		if a == former && !gone {
-			pause(ctx, storePause)
+		if a != former {
+			return true
 		}
-		return
 	}
 	pause(ctx, storePause)
+	return false
 }
 
 func (h *Host) readOwner(ctx context.Context) (*ledger.Owner, error) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -75,8 +75,11 @@
 	StoreCall func(ctx context.Context, method, target string, body []byte) (status int, answer []byte)
 
 	client peer.Client
-	policy atomic.Pointer[fleet.Policy]
-	term   atomic.Pointer[cell.Driver]
+	// follows has connections of its own, so that other calls to an instance that is gone do not
+	// delay it.
+	follows peer.Client
+	policy  atomic.Pointer[fleet.Policy]
+	term    atomic.Pointer[cell.Driver]
 
 	mu sync.Mutex
 	// owner is the address of the owner, as far as it is known, and heard when it last answered.
