Play a burst of long jobs; note two orders that brought nothing

Tried: serving last what can no longer be done by its objective, and a reserve for urgent work that follows its recent peak.

--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -5,7 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/daisyrack/daisyrack/internal/cell"
+	"gotest.tools/v3/assert"
+
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -25,10 +26,13 @@
 // advisers is the number of calls of the policy service at the same time.
 const advisers = 36
 
-// grownFleet is a world with 350 executors and a policy service.
-func grownFleet(t testing.TB, seed uint64) *world {
+// grownExecutors is the number of executors for which grownLoads are an ordinary load.
+const grownExecutors = 350
+
+// grownFleet is a world with executors of 16 cores and a policy service.
+func grownFleet(t testing.TB, seed uint64, executors int) *world {
 	w := newWorld(t, seed, 0)
-	w.goodShare = 0.5
+	w.goodShare, w.failShare = 0.5, 0
 	for i := range w.policy.Queues {
 		q := &w.policy.Queues[i]
 		q.Advice = &fleet.Advice{Decide: 26 * time.Millisecond, PerExecutor: 364 * time.Microsecond, Valid: 2500 * time.Millisecond}
@@ -36,7 +40,7 @@
 			q.Advice = &fleet.Advice{Decide: 507 * time.Millisecond, PerExecutor: 7 * time.Millisecond, Valid: 2500 * time.Millisecond}
 		}
 	}
-	for i := range 350 {
+	for i := range executors {
 		x := w.addExecutor(fmt.Sprintf("x%03d", i))
 		x.Capacity = place.Resources{CPUMillis: 16000, MemoryMB: 65536}
 	}
@@ -71,10 +75,12 @@
 	w.after(0, next)
 }
 
-func grownLoads() []load {
+// grownLoads is an ordinary load of a fleet of that many executors.
+func grownLoads(executors int) []load {
+	share := float64(executors) / grownExecutors
 	return []load{
-		{queue: testQueue, perS: 44, steps: 2, count: 10, estimate: 640 * time.Millisecond, cpu: 2200},
-		{queue: slowQueue, perS: 4.6, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500},
+		{queue: testQueue, perS: 44 * share, steps: 2, count: 10, estimate: 640 * time.Millisecond, cpu: 2200},
+		{queue: slowQueue, perS: 4.6 * share, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500},
 	}
 }
 
@@ -97,10 +103,10 @@
 
 func BenchmarkOwnerOfTheGrownFleet(b *testing.B) {
 	for range b.N {
-		w := grownFleet(b, 1)
+		w := grownFleet(b, 1, grownExecutors)
 		o := w.takeOver()
 		w.run(time.Second)
-		for _, l := range grownLoads() {
+		for _, l := range grownLoads(grownExecutors) {
 			w.arrive(o, l, 20*time.Second)
 		}
 		w.arrive(o, load{queue: slowQueue, perS: 8, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500}, 6*time.Second)
@@ -112,4 +118,23 @@
 	}
 }
 
-var _ = cell.Accepted
+// While a burst of long jobs exceeds the fleet, urgent jobs still find room: at least 95 of 100
+// are done by their objective, which leaves 0.3 s of 2.2 for waiting.
+func TestUrgentJobsInABurstOfLongOnes(t *testing.T) {
+	for seed := range uint64(3) {
+		w := grownFleet(t, seed, 60)
+		o := w.takeOver()
+		w.run(time.Second)
+		for _, l := range grownLoads(60) {
+			w.arrive(o, l, 25*time.Second)
+		}
+		w.arrive(o, load{queue: slowQueue, perS: 1.5, steps: 2, count: 14, estimate: 6 * time.Second, cpu: 4500}, 6*time.Second)
+		w.run(100 * time.Second)
+		w.expectClean()
+		good, all := w.inObjective(o, testQueue)
+		slow, slowAll := w.inObjective(o, slowQueue)
+		t.Logf("seed %d: in objective %d of %d urgent and %d of %d long jobs", seed, good, all, slow, slowAll)
+		assert.Assert(t, float64(good) >= 0.95*float64(all))
+		assert.Equal(t, len(w.ended), w.submitted)
+	}
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -45,6 +45,8 @@
 	// goodShare is the share of executors that the policy service allows; 0 means no service.
 	goodShare float64
 	submitted int
+	// failShare is the share of runs that fail by their own fault.
+	failShare float64
 	// ended is when jobs were shown in a final state.
 	ended map[string]time.Time
 
@@ -134,7 +136,8 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
-		history: make(map[fleet.Task][]*span), ended: make(map[string]time.Time),
+		failShare: 0.02,
+		history:   make(map[fleet.Task][]*span), ended: make(map[string]time.Time),
 		policy: &fleet.Policy{Version: 1, Queues: []fleet.Queue{
 			{Name: testQueue, Service: testPool, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
 			{Name: slowQueue, Service: testPool, Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
@@ -497,7 +500,7 @@
 	w.history[s.Task] = append(w.history[s.Task], sp)
 	r := &fakeRun{
 		Run: fleet.Run{Task: s.Task, Number: s.Number}, span: sp, begun: w.now, work: work,
-		fails: x.failAll || w.rng.Float64() < 0.02, need: spec.Counted(), lasting: spec.Lasts,
+		fails: x.failAll || w.rng.Float64() < w.failShare, need: spec.Counted(), lasting: spec.Lasts,
 	}
 	x.runs[key] = r
 	if !spec.Lasts {
