--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -114,6 +114,9 @@
 	earlier bool
 	// objective is the time until which the job earns its full credit.
 	objective time.Time
+	// home is the failure domain where its tasks run if there is room: a cut between domains
+	// then hurts fewer jobs.
+	home string
 	// started, failed and lost count its runs; lastStart is the time of the last start.
 	started, failed, lost int
 	lastStart             time.Time
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -89,6 +89,7 @@
 		j.objective = fj.Spec.Accepted.Add(time.Duration(q.Stretch*float64(fj.Spec.Chain())) + q.Slack)
 	}
 	c.jobs[j.ID] = j
+	j.home = c.chooseHome()
 	if !j.Started && !j.State.Final() {
 		c.waiting[j.Spec.Queue]++
 	}
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -31,6 +31,9 @@
 	// mixedPenalty keeps fillers away from tasks with a target, where there is a choice.
 	mixedPenalty = 10
 
+	// otherDomainPenalty keeps the tasks of a job in one failure domain.
+	otherDomainPenalty = 3
+
 	// otherRackPenalty prefers the rack where the data is.
 	otherRackPenalty = 5
 )
@@ -79,6 +82,23 @@
 	}
 }
 
+// chooseHome returns the failure domain with the most room.
+func (c *Core) chooseHome() string {
+	free := make(map[string]int64)
+	best := ""
+	for _, ex := range c.ordered {
+		if !ex.listed || ex.Draining || !ex.claimed || ex.misses > 0 {
+			continue
+		}
+		room, _ := c.room.Free(ex.ID)
+		free[ex.Domain] += max(room.CPUMillis, 0)
+		if best == "" || free[ex.Domain] > free[best] || free[ex.Domain] == free[best] && ex.Domain < best {
+			best = ex.Domain
+		}
+	}
+	return best
+}
+
 // workOf returns the work of a step; a new one has no pending tasks.
 func (c *Core) workOf(j *job, s fleet.Step) *work {
 	if w := j.works[s]; w != nil {
@@ -363,6 +383,9 @@
 	if w.spec.Rack != "" && w.spec.Rack != ex.Rack {
 		p += otherRackPenalty
 	}
+	if !w.spec.Lasts && w.spec.Rack == "" && w.job.home != ex.Domain {
+		p += otherDomainPenalty
+	}
 	if w.spec.Filler || w.spec.Target > 0 {
 		for _, r := range ex.runs {
 			if w.spec.Filler && r.spec().Target > 0 || w.spec.Target > 0 && r.spec().Filler {
