--- a/internal/cell/chaos_test.go
+++ b/internal/cell/chaos_test.go
@@ -118,6 +118,23 @@
 			o.away = false
 		})
 		return next
+	case 8: // a domain is cut off with the owner inside
+		next := w.takeOver()
+		o.away = true
+		inside := domainOf(x.ID)
+		for _, other := range all {
+			if other.Domain == inside {
+				next.cut[other.ID] = true
+			} else {
+				o.cut[other.ID] = true
+			}
+		}
+		w.after(6*time.Second, func() {
+			clear(next.cut)
+			clear(o.cut)
+			o.away = false
+		})
+		return next
 	case 2: // an executor crashes and starts again
 		x.down = true
 		for _, r := range x.runs {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -22,6 +22,10 @@
 	// store answers within it.
 	storeSilence = 2 * time.Second
 
+	// maxStartLimit bounds the time after the last proof of ownership in which tasks are started;
+	// two commits in a slow store take 2 s.
+	maxStartLimit = 2500 * time.Millisecond
+
 	// rejectPause is what callers are told to wait while the store can not be reached; outages
 	// of seconds are the usual ones.
 	rejectPause = 2 * time.Second
@@ -69,6 +73,8 @@
 	proven time.Time
 	// provenWall is the same by the time of day, which also counts while the machine is suspended.
 	provenWall time.Time
+	// commitTook is the time that the last commit took.
+	commitTook time.Duration
 
 	// refuses is set while the store refuses commits.
 	refuses bool
@@ -246,10 +252,30 @@
 
 // Proven notes a commit or read that proved the ownership when it was sent.
 func (c *Core) Proven(sent time.Time) {
-	if sent.After(c.proven) {
-		c.proven = sent
-		c.provenWall = sent.Round(0)
+	if !sent.After(c.proven) {
+		return
+	}
+	if sent.Sub(c.proven) > c.startLimit() {
+		for _, w := range c.works {
+			w.untried = true
+		}
 	}
+	c.proven = sent
+	c.provenWall = sent.Round(0)
+}
+
+// mayStart reports whether the ownership was proven lately enough for new starts, by both clocks
+// of the instance. An executor that starts again knows no epoch, so that nothing else would stop
+// an owner that was cut off or suspended.
+func (c *Core) mayStart(now time.Time) bool {
+	limit := c.startLimit()
+	return now.Sub(c.proven) < limit && now.Round(0).Sub(c.provenWall) < limit
+}
+
+// startLimit is how long after the last proof tasks are started: no longer than it takes others
+// to take the cell over, unless commits take longer.
+func (c *Core) startLimit() time.Duration {
+	return min(max(ledger.StaleAfter, 2*c.commitTook+ledger.RenewInterval), maxStartLimit)
 }
 
 // Confirmed reports whether no other instance can own the cell: the last proof is younger than
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -151,7 +151,7 @@
 // usable reports whether the executor may get a task now.
 func (c *Core) usable(now time.Time, ex *executor) bool {
 	listed := ex.listed || now.Sub(ex.unlisted) < relistWait
-	if c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
+	if !c.mayStart(now) || c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
 		return false
 	}
 	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && ex.stored && !now.Before(ex.badUntil)
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -223,6 +223,7 @@
 
 // Committed does what had to wait for the commit.
 func (c *Core) Committed(now time.Time, b *Batch) {
+	c.commitTook = now.Sub(c.proven)
 	if c.refuses {
 		c.refuses = false
 		c.Log.Info("store takes commits again")
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -152,7 +152,7 @@
 func (w *world) addExecutor(id string) *fakeExecutor {
 	x := &fakeExecutor{
 		Executor: fleet.Executor{
-			ID: id, Service: testPool, Domain: "a", Rack: "r" + id[len(id)-1:],
+			ID: id, Service: testPool, Domain: domainOf(id), Rack: "r" + id[len(id)-1:],
 			Capacity: place.Resources{CPUMillis: 8000, MemoryMB: 16000},
 		},
 		drift: 1 - 0.02*w.rng.Float64(),
@@ -162,6 +162,11 @@
 	return x
 }
 
+// domainOf deals executors over three failure domains by the last digit of their id.
+func domainOf(id string) string {
+	return string(rune('a' + (id[len(id)-1]-'0')%3))
+}
+
 func (x *fakeExecutor) restart(w *world) {
 	for _, r := range x.runs {
 		r.span.end, r.span.open, r.span.kind = w.now, false, fleet.Lost
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -208,7 +208,7 @@
 		return &wire.FollowReply{Resigned: true}
 	}
 	h.mu.Lock()
-	r := &wire.FollowReply{Epoch: max(h.epoch, 1), ConfigVersion: p.Version, Followers: h.candidates()}
+	r := &wire.FollowReply{Epoch: max(h.epoch, 1), ConfigVersion: p.Version, Followers: h.candidates(), StoreAway: !d.StoreNear()}
 	h.mu.Unlock()
 	if p.Version > f.GetConfigVersion() {
 		r.Config = p.Source
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -118,7 +118,9 @@
 
 func (h *Host) noteFollow(owner string, r *wire.FollowReply) {
 	h.setOwner(owner, r.GetEpoch())
-	h.hear()
+	if !r.GetStoreAway() {
+		h.hear()
+	}
 	h.mu.Lock()
 	h.others = r.GetFollowers()
 	h.counts = make(map[string]int64, len(r.GetCounts()))
