--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -392,8 +392,8 @@
 			known bool
 			ready = make(chan struct{})
 		)
-		ok := d.post(func(now time.Time) {
-			e, look, known = d.core.NextLook(now, id)
+		ok := d.post(func(time.Time) {
+			e, look, known = d.core.NextLook(id)
 			if !known {
 				delete(d.looking, id)
 				delete(d.lanes, id)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -183,7 +183,7 @@
 }
 
 // NextLook returns the next look at an executor; false means that it is no longer known.
-func (c *Core) NextLook(now time.Time, id string) (fleet.Executor, fleet.Look, bool) {
+func (c *Core) NextLook(id string) (fleet.Executor, fleet.Look, bool) {
 	ex := c.execs[id]
 	if ex == nil {
 		return fleet.Executor{}, fleet.Look{}, false
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -92,7 +92,7 @@
 	if err := c.putFleet(b); err != nil {
 		return nil, err
 	}
-	for len(k.fresh) > 0 && len(b.Puts) < ledger.MaxRows/2 {
+	for len(k.fresh) > 0 && len(b.Puts) < ledger.MaxRows/2 && b.bytes() < ledger.MaxBytes {
 		j := k.fresh[0]
 		value, err := proto.Marshal(j.Spec.Record())
 		if err != nil {
@@ -102,7 +102,7 @@
 		b.created = append(b.created, j)
 		k.fresh = k.fresh[1:]
 	}
-	for len(k.final) > 0 && b.rows() < ledger.MaxRows-1 {
+	for len(k.final) > 0 && b.rows() < ledger.MaxRows-1 && b.bytes() < ledger.MaxBytes {
 		j := k.final[0]
 		if slices.Contains(k.fresh, j) {
 			break
@@ -118,7 +118,7 @@
 	}
 	b.Puts = slices.DeleteFunc(b.Puts, func(p table.Put) bool { return slices.Contains(b.Deletes, p.Key) })
 	for id, j := range k.dirty {
-		if b.rows() >= ledger.MaxRows {
+		if b.rows() >= ledger.MaxRows || b.bytes() >= ledger.MaxBytes {
 			break
 		}
 		if err := c.putProgress(b, j); err != nil {
@@ -148,6 +148,14 @@
 	return len(b.Puts) + len(b.Deletes)
 }
 
+func (b *Batch) bytes() int {
+	n := 0
+	for _, p := range b.Puts {
+		n += len(p.Value)
+	}
+	return n
+}
+
 func (c *Core) putProgress(b *Batch, j *job) error {
 	value, err := j.Progress()
 	if err != nil {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -61,7 +61,6 @@
 	begin, end time.Time
 	kind       fleet.EndKind
 	open       bool
-	noted      bool
 }
 
 type fakeExecutor struct {
@@ -384,7 +383,7 @@
 	if o.dead {
 		return
 	}
-	e, look, known := o.core.NextLook(w.now, id)
+	e, look, known := o.core.NextLook(id)
 	if !known {
 		delete(o.looking, id)
 		return
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -40,13 +40,23 @@
 		name  string
 		value int64
 	}{
-		{"jobs_accepted_total", n.Accepted}, {"jobs_rejected_total", n.Rejected},
-		{"jobs_completed_total", n.Completed}, {"jobs_failed_total", n.Failed},
-		{"jobs_cancelled_total", n.Cancelled}, {"runs_started_total", n.Starts},
-		{"runs_stopped_total", n.Stops}, {"runs_ended_total", n.Ends}, {"runs_lost_total", n.Lost},
-		{"runs_adopted_total", n.Adopted}, {"orders_resent_total", n.Resent},
-		{"advice_asked_total", n.AdviceAsked}, {"advice_good_total", n.AdviceGood},
-		{"looks_total", n.Looks}, {"looks_silent_total", n.Silences}, {"fillers_paced_total", n.Paced}, {"runs_copied_total", n.Copies},
+		{"jobs_accepted_total", n.Accepted},
+		{"jobs_rejected_total", n.Rejected},
+		{"jobs_completed_total", n.Completed},
+		{"jobs_failed_total", n.Failed},
+		{"jobs_cancelled_total", n.Cancelled},
+		{"runs_started_total", n.Starts},
+		{"runs_stopped_total", n.Stops},
+		{"runs_ended_total", n.Ends},
+		{"runs_lost_total", n.Lost},
+		{"runs_adopted_total", n.Adopted},
+		{"orders_resent_total", n.Resent},
+		{"advice_asked_total", n.AdviceAsked},
+		{"advice_good_total", n.AdviceGood},
+		{"looks_total", n.Looks},
+		{"looks_silent_total", n.Silences},
+		{"fillers_paced_total", n.Paced},
+		{"runs_copied_total", n.Copies},
 	}
 	for _, c := range counters {
 		_, _ = fmt.Fprintf(w, "%s %d\n", c.name, c.value)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,8 +30,8 @@
 	// MaxRows is how many puts and deletes one commit may hold besides the owner's row.
 	MaxRows = 98
 
-	// maxBytes keeps a commit below the store's limit of 1 MB with base64.
-	maxBytes = 600 << 10
+	// MaxBytes keeps the values of a commit below the store's limit of 1 MB with base64.
+	MaxBytes = 600 << 10
 
 	// scanLimit is the number of rows read with one call.
 	scanLimit = 500
