--- /dev/null
+++ b/internal/cell/calls.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisyrack/daisyrack/internal/flow"
+)
+
+// Submit hands a job in and waits for the outcome.
+func (d *Driver) Submit(ctx context.Context, id string, spec flow.Spec) Reply {
+	return d.call(ctx, func(now time.Time, reply func(Reply)) { d.core.Submit(now, id, spec, reply) })
+}
+
+// Cancel ends a job and waits until that is stored.
+func (d *Driver) Cancel(ctx context.Context, id string) Reply {
+	return d.call(ctx, func(now time.Time, reply func(Reply)) { d.core.Cancel(now, id, d.sure(now, reply)) })
+}
+
+// State tells the state of a job.
+func (d *Driver) State(ctx context.Context, id string) Reply {
+	return d.call(ctx, func(now time.Time, reply func(Reply)) { d.sure(now, reply)(d.core.State(id)) })
+}
+
+// sure passes on that a job is absent only while no other instance can own the cell.
+func (d *Driver) sure(now time.Time, reply func(Reply)) func(Reply) {
+	return func(r Reply) {
+		if r.Outcome == Absent && !d.core.Confirmed(now) {
+			r = Reply{Outcome: Unknown, Reason: "ownership is not confirmed"}
+		}
+		reply(r)
+	}
+}
+
+// Waiting returns the number of jobs of each queue that have not begun.
+func (d *Driver) Waiting(ctx context.Context) map[string]int64 {
+	out := make(chan map[string]int64, 1)
+	if !d.ready(ctx) || !d.post(func(time.Time) { out <- d.core.Waiting() }) {
+		return nil
+	}
+	select {
+	case m := <-out:
+		return m
+	case <-d.done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// Counters returns the counters of this term.
+func (d *Driver) Counters(ctx context.Context) Counters {
+	out := make(chan Counters, 1)
+	if !d.ready(ctx) || !d.post(func(time.Time) { out <- d.core.Count }) {
+		return Counters{}
+	}
+	select {
+	case c := <-out:
+		return c
+	case <-d.done:
+	case <-ctx.Done():
+	}
+	return Counters{}
+}
+
+func (d *Driver) ready(ctx context.Context) bool {
+	return wait(ctx, d.done, d.loaded)
+}
+
+func (d *Driver) call(ctx context.Context, f func(now time.Time, reply func(Reply))) Reply {
+	if !d.ready(ctx) {
+		return Reply{Outcome: NotOwner}
+	}
+	out := make(chan Reply, 1)
+	if !d.post(func(now time.Time) { f(now, func(r Reply) { out <- r }) }) {
+		return Reply{Outcome: NotOwner}
+	}
+	select {
+	case r := <-out:
+		return r
+	case <-d.done:
+		select {
+		case r := <-out:
+			return r
+		default:
+			return Reply{Outcome: Unknown, Reason: "the owner of the cell changes"}
+		}
+	case <-ctx.Done():
+		return Reply{Outcome: Unknown, Reason: "no outcome in time"}
+	}
+}
--- a/internal/cell/control.go
+++ b/internal/cell/control.go
@@ -116,7 +116,7 @@
 	case fleet.Failed:
 		if r.ex.noteFailure(now) {
 			c.Log.WithField("executor", r.ex.ID).WithField("failures", r.ex.fails).
-				WithField("until_ms", r.ex.badUntil.Sub(now).Milliseconds()).Warn("executor fails what it starts: no new tasks")
+				WithField("kept_away_ms", r.ex.badUntil.Sub(now).Milliseconds()).Warn("executor fails what it starts: no new tasks")
 		}
 	case fleet.Done:
 		r.ex.noteSuccess()
--- /dev/null
+++ b/internal/cell/lane.go
@@ -0,0 +1,47 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisyrack/daisyrack/internal/fleet"
+)
+
+// send queues an order for its executor.
+func (d *Driver) send(ctx context.Context, o Order) {
+	l := d.lanes[o.Executor.ID]
+	if l == nil {
+		l = &lane{}
+		d.lanes[o.Executor.ID] = l
+	}
+	l.waiting = append(l.waiting, o)
+	d.pump(ctx, l)
+}
+
+func (d *Driver) pump(ctx context.Context, l *lane) {
+	for l.busy < lanes && len(l.waiting) > 0 {
+		o := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		l.busy++
+		go func() {
+			ans := d.carryOut(ctx, o)
+			d.post(func(now time.Time) {
+				l.busy--
+				d.core.Ordered(now, o, ans)
+				d.pump(ctx, l)
+			})
+		}()
+	}
+}
+
+func (d *Driver) carryOut(ctx context.Context, o Order) fleet.Answer {
+	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout<<min(o.Try, 2), maxOrderTimeout))
+	defer cancel()
+	switch {
+	case o.Start != nil:
+		return d.Start(ctx, o.Executor, *o.Start)
+	case o.Stop != nil:
+		return d.Stop(ctx, o.Executor, *o.Stop)
+	}
+	return d.Pace(ctx, o.Executor, *o.Pace)
+}
--- /dev/null
+++ b/internal/cell/standin_test.go
@@ -0,0 +1,142 @@
+package cell_test
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/daisyrack/daisyrack/internal/cell"
+	"github.com/daisyrack/daisyrack/internal/fleet"
+)
+
+// clock is the executor's own clock.
+func (x *fakeExecutor) clock(w *world) time.Duration {
+	return time.Duration(float64(w.now.Sub(x.born)) * x.drift)
+}
+
+func (x *fakeExecutor) obey(w *world, order cell.Order) fleet.Answer {
+	ans := fleet.Answer{Clock: x.clock(w), HasClock: true, Life: x.life}
+	switch {
+	case order.Start != nil:
+		ans.Verdict = x.start(w, order.Start)
+	case order.Stop != nil:
+		ans.Verdict = x.stop(w, order.Stop)
+	}
+	return ans
+}
+
+func (x *fakeExecutor) start(w *world, s *fleet.Start) fleet.Verdict {
+	if s.Epoch < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = s.Epoch
+	key := runKey(s.Task, s.Number)
+	if x.runs[key] != nil {
+		return fleet.Obeyed
+	}
+	if s.Number <= x.closed[s.Task] {
+		return fleet.Outdated
+	}
+	if s.Until <= x.clock(w) {
+		return fleet.Late
+	}
+	x.until = max(x.until, s.Until)
+	w.checkStart(x, s)
+	spec := w.specOf(s.Task)
+	work := time.Duration(float64(spec.Estimate) * (0.5 + w.rng.Float64()))
+	sp := &span{number: s.Number, executor: x.ID, begin: w.now, open: true}
+	w.history[s.Task] = append(w.history[s.Task], sp)
+	r := &fakeRun{
+		Run: fleet.Run{Task: s.Task, Number: s.Number}, span: sp, begun: w.now, work: work,
+		fails: x.failAll || w.rng.Float64() < w.failShare, need: spec.Counted(), lasting: spec.Lasts,
+	}
+	x.runs[key] = r
+	if !spec.Lasts {
+		life := x.life
+		w.after(work, func() {
+			if x.life == life && x.runs[key] == r {
+				kind := fleet.Done
+				if r.fails {
+					kind = fleet.Failed
+				}
+				x.finish(w, key, kind)
+			}
+		})
+	}
+	w.after(x.leaseLeft(w)+time.Millisecond, func() { x.expire(w) })
+	return fleet.Obeyed
+}
+
+func (x *fakeExecutor) leaseLeft(w *world) time.Duration {
+	return time.Duration(float64(x.until-x.clock(w)) / x.drift)
+}
+
+func (x *fakeExecutor) expire(w *world) {
+	if x.down || len(x.runs) == 0 {
+		return
+	}
+	if x.clock(w) < x.until {
+		w.after(x.leaseLeft(w)+time.Millisecond, func() { x.expire(w) })
+		return
+	}
+	for _, key := range x.keys() {
+		x.finish(w, key, fleet.Lapsed)
+	}
+}
+
+func (x *fakeExecutor) keys() []string {
+	keys := make([]string, 0, len(x.runs))
+	for key := range x.runs {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (x *fakeExecutor) finish(w *world, key string, kind fleet.EndKind) {
+	r := x.runs[key]
+	delete(x.runs, key)
+	r.span.end, r.span.open, r.span.kind = w.now, false, kind
+	x.closed[r.Task] = max(x.closed[r.Task], r.Number)
+	x.serial++
+	x.ends = append(x.ends, fleet.End{Sequence: x.serial, Task: r.Task, Number: r.Number, Kind: kind})
+	if kind == fleet.Lapsed {
+		// What ended before the lease did and was not noted does not count.
+		return
+	}
+}
+
+func (x *fakeExecutor) stop(w *world, s *fleet.Stop) fleet.Verdict {
+	if s.Epoch < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = s.Epoch
+	x.closed[s.Task] = max(x.closed[s.Task], s.Number)
+	key := runKey(s.Task, s.Number)
+	if r := x.runs[key]; r != nil {
+		life := x.life
+		w.after(time.Duration(w.rng.Int64N(int64(stopTime))), func() {
+			if x.life == life && x.runs[key] == r {
+				x.finish(w, key, fleet.Stopped)
+			}
+		})
+	}
+	return fleet.Obeyed
+}
+
+func (x *fakeExecutor) forget(upTo, epoch int64) {
+	if epoch < x.fence {
+		return
+	}
+	x.ends = slices.DeleteFunc(x.ends, func(e fleet.End) bool { return e.Sequence <= upTo })
+}
+
+func (x *fakeExecutor) list(w *world) fleet.Answer {
+	ans := fleet.Answer{Clock: x.clock(w), HasClock: true, Life: x.life, Ends: slices.Clone(x.ends)}
+	for _, key := range x.keys() {
+		r := x.runs[key].Run
+		r.Percent = min(100, 100*float64(w.now.Sub(x.runs[key].begun))/float64(max(x.runs[key].work, 1)))
+		ans.Runs = append(ans.Runs, r)
+	}
+	return ans
+}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -75,10 +75,14 @@
 			h.setOwner(reply.GetOwnerAddress(), 0)
 			return false
 		case err == nil:
-			h.Log.WithField("owner", owner).WithField("resigned", reply.GetResigned()).Info("owner no longer owns the cell")
+			if h.tellOnce(owner + " resigned") {
+				h.Log.WithField("owner", owner).WithField("resigned", reply.GetResigned()).Info("owner no longer owns the cell")
+			}
 			return true
 		case refused(err):
-			h.Log.WithField("owner", owner).WithError(err).Info("owner's process is gone")
+			if h.tellOnce(owner + " gone") {
+				h.Log.WithField("owner", owner).WithError(err).Info("owner's process is gone")
+			}
 			return true
 		}
 		if ctx.Err() == nil && time.Since(last) >= ownerSilence {
@@ -93,6 +97,15 @@
 	return false
 }
 
+// tellOnce reports whether the same was not told just before; only Run calls it.
+func (h *Host) tellOnce(what string) bool {
+	if h.told == what {
+		return false
+	}
+	h.told = what
+	return true
+}
+
 func (h *Host) callFollow(ctx context.Context, owner string, timeout time.Duration) (*wire.FollowReply, peer.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -117,6 +130,7 @@
 }
 
 func (h *Host) noteFollow(owner string, r *wire.FollowReply) {
+	h.told = ""
 	h.setOwner(owner, r.GetEpoch())
 	if !r.GetStoreAway() {
 		h.hear()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,9 @@
 	policy  atomic.Pointer[fleet.Policy]
 	term    atomic.Pointer[cell.Driver]
 
+	// told is what Run told last of an owner that is gone.
+	told string
+
 	mu sync.Mutex
 	// owner is the address of the owner, as far as it is known, and heard when it last answered.
 	owner   string
