--- a/internal/cell/standin_test.go
+++ b/internal/cell/standin_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
 // clock is the executor's own clock.
@@ -140,3 +141,29 @@
 	}
 	return ans
 }
+
+// checkStart compares a start with the history of all runs.
+func (w *world) checkStart(x *fakeExecutor, s *fleet.Start) {
+	spec := w.specOf(s.Task)
+	var used place.Resources
+	for _, r := range x.runs {
+		used = used.Add(r.need)
+	}
+	if !spec.Counted().Fits(x.Capacity.Sub(used)) {
+		w.breach("capacity of %s exceeded by %s", x.ID, runKey(s.Task, s.Number))
+	}
+	for _, sp := range w.history[s.Task] {
+		if sp.open && !spec.Copies {
+			w.breach("task %s runs twice: run %d on %s and run %d on %s", runKey(s.Task, s.Number), sp.number, sp.executor, s.Number, x.ID)
+		}
+	}
+	all := specs[w.t.Name()+s.Task.Job]
+	for _, before := range all.Steps[s.Task.Step].After {
+		for i := range all.Steps[before].Count {
+			t := fleet.Task{Job: s.Task.Job, Step: before, Index: i}
+			if !slices.ContainsFunc(w.history[t], func(sp *span) bool { return sp.kind == fleet.Done && !sp.open }) {
+				w.breach("%s started before %s was done", runKey(s.Task, s.Number), runKey(t, 0))
+			}
+		}
+	}
+}
