--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 // store is the platform's store in memory; faults apply to the next transactions.
 type store struct {
+	mu      sync.Mutex
 	rows    map[string]table.Row
 	version int64
 	now     time.Time
@@ -46,6 +48,8 @@
 }
 
 func (s *store) send(_ context.Context, c table.Commit) (table.Result, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.now = s.now.Add(time.Millisecond)
 	if s.refuse && s.delay == 0 {
 		s.now = s.now.Add(100 * time.Millisecond)
@@ -67,9 +71,17 @@
 	return table.Result{Outcome: table.Committed, Version: s.version}, s.clock()
 }
 
+func (s *store) time() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
 func (s *store) clock() time.Duration { return s.now.Sub(time.Unix(0, 0)) }
 
 func (s *store) scan(_ context.Context, prefix, after string, limit int) (ledger.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	p := ledger.Page{Clock: s.clock()}
 	for key, r := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after && len(p.Rows) < limit {
@@ -82,7 +94,7 @@
 func (s *store) ledger(name string, nonce uint64) *ledger.Ledger {
 	return &ledger.Ledger{
 		Name: name, Address: name + ":1", Nonce: nonce, Send: s.send, Scan: s.scan,
-		Now: func() time.Time { return s.now }, Pause: func(context.Context, time.Duration) {},
+		Now: s.time, Pause: func(context.Context, time.Duration) {},
 	}
 }
 
