--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -79,9 +79,6 @@
 	Advisers func() []string
 	Ask      func(ctx context.Context, adviser string, q *Question) ([]fleet.Ticket, time.Duration, error)
 
-	// Dial is called when an executor is forgotten, to close its connections.
-	Forget func(e fleet.Executor)
-
 	core       *Core
 	mail       chan func(now time.Time)
 	done       chan struct{}
@@ -290,8 +287,7 @@
 	if d.committing {
 		return
 	}
-	due, _ := d.core.CommitDue(now)
-	if !due && now.Sub(d.renewedAt) < ledger.RenewInterval {
+	if !d.core.CommitDue(now) && now.Sub(d.renewedAt) < ledger.RenewInterval {
 		return
 	}
 	b, err := d.core.NextBatch()
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -69,19 +69,19 @@
 	fleet   []string
 }
 
-// CommitDue tells whether something waits for a commit, and whether it is urgent.
-func (c *Core) CommitDue(now time.Time) (due, urgent bool) {
+// CommitDue reports whether something waits for a commit: callers at once, ends after a while.
+func (c *Core) CommitDue(now time.Time) bool {
 	k := &c.keep
 	if len(k.fresh) > 0 || len(k.final) > 0 || k.fleet {
-		return true, true
+		return true
 	}
 	if !k.ends && len(k.dirty) == 0 && len(k.drops) == 0 {
-		return false, false
+		return false
 	}
 	if k.endsAt.IsZero() {
 		k.endsAt = now
 	}
-	return now.Sub(k.endsAt) >= endsDelay, false
+	return now.Sub(k.endsAt) >= endsDelay
 }
 
 // NextBatch returns what to commit now. Jobs that do not fit wait for the next one; then no
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -318,7 +318,7 @@
 
 func (o *owner) commit() {
 	w := o.w
-	due, _ := o.core.CommitDue(w.now)
+	due := o.core.CommitDue(w.now)
 	if o.busy {
 		return
 	}
