--- /dev/null
+++ b/internal/cell/driver_test.go
@@ -0,0 +1,102 @@
+package cell_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/daisyrack/daisyrack/internal/cell"
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/ledger"
+	"github.com/daisyrack/daisyrack/pkg/place"
+	"github.com/daisyrack/daisyrack/pkg/table"
+)
+
+// A start that waits behind orders without an answer must not be sent once its job is cancelled.
+func TestStartOfACancelledJobIsNotSent(t *testing.T) {
+	var mu sync.Mutex
+	version := int64(0)
+	begun := time.Now()
+	started := make(map[string]int)
+	release := make(chan struct{})
+	d := &cell.Driver{
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second,
+		Ledger: &ledger.Ledger{
+			Name: "a", Now: time.Now, Pause: func(context.Context, time.Duration) {},
+			Send: func(context.Context, table.Commit) (table.Result, time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				version++
+				return table.Result{Outcome: table.Committed, Version: version}, time.Since(begun)
+			},
+			Scan: func(context.Context, string, string, int) (ledger.Page, error) {
+				return ledger.Page{Clock: time.Since(begun)}, nil
+			},
+		},
+		List: func(context.Context) ([]fleet.Executor, int64, error) {
+			e := fleet.Executor{ID: "x", Service: testPool, Capacity: place.Resources{CPUMillis: 64000, MemoryMB: 64000}}
+			return []fleet.Executor{e}, 1, nil
+		},
+		Watch: func(ctx context.Context, _ int64) ([]cell.Change, int64, error) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+		Look: func(context.Context, fleet.Executor, fleet.Look) fleet.Answer {
+			return fleet.Answer{Verdict: fleet.Obeyed, HasClock: true, Clock: time.Since(begun)}
+		},
+		Start: func(_ context.Context, _ fleet.Executor, o fleet.Start) fleet.Answer {
+			mu.Lock()
+			started[o.Task.Job]++
+			mu.Unlock()
+			<-release
+			return fleet.Answer{Verdict: fleet.Obeyed}
+		},
+		Stop: func(context.Context, fleet.Executor, fleet.Stop) fleet.Answer {
+			return fleet.Answer{Verdict: fleet.Obeyed}
+		},
+		Policy: func() *fleet.Policy {
+			return &fleet.Policy{Version: 1, Queues: []fleet.Queue{{Name: testQueue, Service: testPool}}}
+		},
+		Advisers: func() []string { return nil },
+	}
+	d.Prepare()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx, &ledger.Owner{}) }()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	running := func(job string, n int) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			mu.Lock()
+			defer mu.Unlock()
+			if started[job] == n {
+				return poll.Success()
+			}
+			return poll.Continue("%d starts", started[job])
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+	assert.Equal(t, d.Submit(ctx, "first", oneStep(testQueue, 2, time.Second)).Outcome, cell.Accepted)
+	running("first", 2) // both lanes wait for an answer
+	assert.Equal(t, d.Submit(ctx, "second", oneStep(testQueue, 1, time.Second)).Outcome, cell.Accepted)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if d.Counters(ctx).Starts == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("the second job has not begun")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, d.Cancel(ctx, "second").Outcome, cell.Accepted)
+	assert.Equal(t, d.Submit(ctx, "third", oneStep(testQueue, 1, time.Second)).Outcome, cell.Accepted)
+	close(release)
+	running("third", 1) // its start came after that of the second job
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, started["second"], 0)
+}
--- a/internal/cell/lane.go
+++ b/internal/cell/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -14,7 +15,11 @@
 		l = &lane{}
 		d.lanes[o.Executor.ID] = l
 	}
-	l.waiting = append(l.waiting, o)
+	if o.Stop != nil {
+		l.waiting = slices.Insert(l.waiting, 0, o) // a stop does not wait behind starts
+	} else {
+		l.waiting = append(l.waiting, o)
+	}
 	d.pump(ctx, l)
 }
 
@@ -22,6 +27,9 @@
 	for l.busy < lanes && len(l.waiting) > 0 {
 		o := l.waiting[0]
 		l.waiting = l.waiting[1:]
+		if d.core.Withdrawn(d.Ledger.Now(), o) {
+			continue
+		}
 		l.busy++
 		go func() {
 			ans := d.carryOut(ctx, o)
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -120,6 +120,29 @@
 	})
 }
 
+// Withdrawn reports whether a start that has not been sent is no longer wanted, and settles its run.
+func (c *Core) Withdrawn(now time.Time, o Order) bool {
+	r := o.run
+	if o.Start == nil || r == nil {
+		return false
+	}
+	if r.ex.runs[r.key] != r {
+		return true // the run was given up in the meantime
+	}
+	if !r.stopping {
+		return false
+	}
+	r.ordered = false
+	if r.doubtful {
+		// An earlier copy of the start may still be carried out.
+		c.orderStop(r)
+		return true
+	}
+	c.remove(r)
+	c.applyEffect(now, r.job, r.task, r.number, fleet.Lost, "", r)
+	return true
+}
+
 // Ordered applies the answer to an order.
 func (c *Core) Ordered(now time.Time, o Order, ans fleet.Answer) {
 	r := o.run
