Count a run until it is stopped when the repeat of its start is withdrawn

Reading Withdrawn for ways to free a run that still runs showed one: the first copy of a start had no answer, a look listed the run, and the withdrawn repeat freed its room. TestWithdrawnRepeatOfAStartStopsTheRun failed first.

--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -133,8 +133,8 @@
 		return false
 	}
 	r.ordered = false
-	if r.doubtful {
-		// An earlier copy of the start may still be carried out.
+	if r.doubtful || r.stray || !r.known.IsZero() {
+		// An earlier copy of the start has been carried out or still may be.
 		c.orderStop(r)
 		return true
 	}
--- /dev/null
+++ b/internal/cell/orders_test.go
@@ -0,0 +1,48 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/cell"
+	"github.com/daisyrack/daisyrack/internal/fleet"
+)
+
+// A repeated start that is no longer wanted is not sent, but the run that its first copy began
+// is counted until it is stopped.
+func TestWithdrawnRepeatOfAStartStopsTheRun(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "a", oneStep(testQueue, 1, time.Second))
+	task := fleet.Task{Job: "a"}
+	for range 100 {
+		if len(w.history[task]) > 0 {
+			break
+		}
+		w.run(time.Millisecond)
+	}
+	o.dead = true // from here on the test answers in place of the world
+	c := o.core
+	c.Orders()
+	number := w.history[task][0].number
+	start := cell.Order{}
+	for _, sent := range w.sent {
+		if sent.Start != nil && sent.Start.Task == task {
+			start = sent
+		}
+	}
+	c.Ordered(w.now, start, fleet.Answer{Verdict: fleet.Silent})
+	repeats := c.Orders()
+	assert.Equal(t, len(repeats), 1)
+	c.Looked(w.now, w.now, "x0", fleet.Answer{
+		Verdict: fleet.Obeyed, Runs: []fleet.Run{{Task: task, Number: number, Percent: 10}},
+	})
+	c.Cancel(w.now, "a", func(cell.Reply) {})
+	assert.Assert(t, c.Withdrawn(w.now, repeats[0]))
+	stops := c.Orders()
+	assert.Equal(t, len(stops), 1)
+	assert.Assert(t, stops[0].Stop != nil && stops[0].Stop.Number == number)
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -50,6 +50,9 @@
 	// ended is when jobs were shown in a final state.
 	ended map[string]time.Time
 
+	// sent are the orders of all owners.
+	sent []cell.Order
+
 	history map[fleet.Task][]*span
 	broken  []string
 }
@@ -431,6 +434,7 @@
 
 func (o *owner) send(order cell.Order) {
 	w := o.w
+	w.sent = append(w.sent, order)
 	delay := messageLag + time.Duration(w.rng.IntN(3))*time.Millisecond
 	silent := w.rng.Float64() < w.lateShare
 	if silent {
