--- a/internal/cell/driver_test.go
+++ b/internal/cell/driver_test.go
@@ -71,7 +71,7 @@
 	go func() { ended <- d.Run(ctx, &ledger.Owner{}) }()
 	defer func() {
 		cancel()
-		<-ended
+		assert.ErrorIs(t, <-ended, context.Canceled)
 	}()
 	running := func(job string, n int) {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
