--- a/internal/cell/standin_test.go
+++ b/internal/cell/standin_test.go
@@ -167,3 +167,8 @@
 		}
 	}
 }
+
+// domainOf deals executors over three failure domains by the last digit of their id.
+func domainOf(id string) string {
+	return string(rune('a' + (id[len(id)-1]-'0')%3))
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -164,11 +164,6 @@
 	return x
 }
 
-// domainOf deals executors over three failure domains by the last digit of their id.
-func domainOf(id string) string {
-	return string(rune('a' + (id[len(id)-1]-'0')%3))
-}
-
 func (x *fakeExecutor) restart(w *world) {
 	for _, r := range x.runs {
 		r.span.end, r.span.open, r.span.kind = w.now, false, fleet.Lost
