Announce a new owner; let the owner of an old row go on; notice a returned store at once

Cause: after a takeover the candidates slept out their turn (up to 1.5 s) before they read who owns the cell. After an outage of the store the owner noticed its return up to 1.5 s late, because a read that hung delayed the next one, and an instance that had just started replaced it, since its row was old; the successor then had to wait for executors of a cut domain.

--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -79,6 +79,9 @@
 	Advisers func() []string
 	Ask      func(ctx context.Context, adviser string, q *Question) ([]fleet.Ticket, time.Duration, error)
 
+	// Taken is called when the row of the owner is this instance's; nil means nothing.
+	Taken func(epoch int64)
+
 	core       *Core
 	mail       chan func(now time.Time)
 	done       chan struct{}
@@ -139,6 +142,9 @@
 	if err != nil {
 		return err
 	}
+	if d.Taken != nil {
+		d.Taken(epoch)
+	}
 	now := d.Ledger.Now()
 	d.core = &Core{Epoch: epoch, Lease: d.Lease, Taken: now, Log: d.Log}
 	d.policy = d.Policy()
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -200,7 +200,7 @@
 	}
 	h.noteFollower(f)
 	p := h.Policy()
-	if p.Version <= f.GetConfigVersion() {
+	if p.Version <= f.GetConfigVersion() && !f.GetAtOnce() {
 		pauseTerm(ctx, d, followHold)
 		p = h.Policy()
 	}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -37,6 +37,10 @@
 	// rowTimeout bounds a read of the owner's row, also from a slow store.
 	rowTimeout = 1200 * time.Millisecond
 
+	// holderTimeout bounds the question whether the holder of an old row still owns the cell; an
+	// answer takes some milliseconds.
+	holderTimeout = 150 * time.Millisecond
+
 	// askTimeout bounds a question for the owner to a seed.
 	askTimeout = 300 * time.Millisecond
 )
@@ -51,7 +55,7 @@
 		}
 		// The former owner is called again only when its row is renewed or nothing else is
 		// known for a while: calls to an instance that is gone take as long as their time-out.
-		for begun := time.Now(); ctx.Err() == nil; {
+		for begun := time.Now(); ctx.Err() == nil && !h.replaced(owner); {
 			if h.contend(ctx, owner, gone) || time.Since(begun) > contendLimit {
 				break
 			}
@@ -63,10 +67,14 @@
 // follow calls the owner again and again until it is silent or says that it is not the owner.
 // It reports whether the owner is gone for sure.
 func (h *Host) follow(ctx context.Context, owner string) (gone bool) {
+	ctx, cancel := h.whileOwner(ctx, owner)
+	defer cancel()
 	last := time.Now()
 	for ctx.Err() == nil {
-		reply, outcome, err := h.callFollow(ctx, owner, ownerSilence)
+		reply, outcome, err := h.callFollow(ctx, owner, ownerSilence, false)
 		switch {
+		case ctx.Err() != nil:
+			return false
 		case err == nil && reply.GetEpoch() > 0 && !reply.GetResigned():
 			last = time.Now()
 			h.noteFollow(owner, reply)
@@ -97,6 +105,69 @@
 	return false
 }
 
+// replaced reports whether another instance than the former owner and this one is known to own the cell.
+func (h *Host) replaced(former string) bool {
+	owner, _, _ := h.known()
+	return owner != "" && owner != former && owner != h.Address
+}
+
+// whileOwner returns a context that ends when another owner is known.
+func (h *Host) whileOwner(ctx context.Context, owner string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			known, _, changed := h.known()
+			if known != owner {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// waitTurn pauses until it is this candidate's turn; false means that another instance took the
+// cell over in the meantime.
+func (h *Host) waitTurn(ctx context.Context, d time.Duration, former string) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		_, _, changed := h.known()
+		if h.replaced(former) {
+			return false
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// holderAnswers reports whether the instance that the row names, and that was not called yet,
+// still owns the cell. After an outage of the store the row is old although its holder lives.
+func (h *Host) holderAnswers(ctx context.Context, row *ledger.Owner, former string) bool {
+	holder := row.Record.GetAddress()
+	if holder == "" || holder == former || holder == h.Address {
+		return false
+	}
+	reply, _, err := h.callFollow(ctx, holder, holderTimeout, true)
+	if err != nil || reply.GetEpoch() == 0 || reply.GetResigned() {
+		return false
+	}
+	h.Log.WithField("owner", holder).WithField("row_age_ms", row.Age().Milliseconds()).
+		Info("owner's row is old but its holder answers")
+	h.noteFollow(holder, reply)
+	return true
+}
+
 // tellOnce reports whether the same was not told just before; only Run calls it.
 func (h *Host) tellOnce(what string) bool {
 	if h.told == what {
@@ -106,7 +177,7 @@
 	return true
 }
 
-func (h *Host) callFollow(ctx context.Context, owner string, timeout time.Duration) (*wire.FollowReply, peer.Outcome, error) {
+func (h *Host) callFollow(ctx context.Context, owner string, timeout time.Duration, atOnce bool) (*wire.FollowReply, peer.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	version := int64(0)
@@ -118,7 +189,7 @@
 	h.mu.Unlock()
 	res, outcome, err := h.follows.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: &wire.Follow{
 		Name: h.Name, Address: h.Address, FailureDomain: h.Domain, ConfigVersion: version,
-		Weight: h.Weight, Leaving: leaving,
+		Weight: h.Weight, Leaving: leaving, AtOnce: atOnce,
 	}}})
 	if err != nil {
 		return nil, outcome, err
@@ -169,7 +240,12 @@
 		return false
 	}
 	if h.mayTake(row, former, gone) && !h.isLeaving() && !h.isYielding() && h.Policy() != nil {
-		pause(ctx, time.Duration(h.rank(former))*stagger+h.handicap(stagger))
+		if h.holderAnswers(ctx, row, former) {
+			return true
+		}
+		if !h.waitTurn(ctx, time.Duration(h.rank(former))*stagger+h.handicap(stagger), former) {
+			return true
+		}
 		again, err := h.readOwner(ctx)
 		if err == nil && again.Version == row.Version {
 			h.own(ctx, again)
@@ -275,7 +351,7 @@
 		if a == h.Address || a == former {
 			continue
 		}
-		reply, _, err := h.callFollow(ctx, a, askTimeout)
+		reply, _, err := h.callFollow(ctx, a, askTimeout, true)
 		if err != nil {
 			continue
 		}
@@ -315,6 +391,7 @@
 	h.term.Store(d)
 	h.setOwner(h.Address, from.Record.GetEpoch()+1)
 	h.hear()
+	d.Taken = func(epoch int64) { h.announce(ctx, epoch) }
 	go h.hearSelf(ctx)
 	go h.yield(ctx, cancel)
 	err := d.Run(ctx, from)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -243,6 +243,8 @@
 	switch {
 	case req.GetFollow() != nil:
 		return &wire.Response{Body: &wire.Response_Follow{Follow: h.answerFollow(ctx, req.GetFollow())}}
+	case req.GetAnnounce() != nil:
+		return &wire.Response{Body: &wire.Response_Follow{Follow: h.answerAnnounce(req.GetAnnounce())}}
 	case req.GetJobCall() != nil:
 		return &wire.Response{Body: &wire.Response_JobReply{JobReply: h.answerJob(ctx, req.GetJobCall())}}
 	case req.GetAdviceCall() != nil:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -45,7 +45,13 @@
 	firstCheck = 120 * time.Millisecond
 
 	// checkPause is the time between two such reads.
-	checkPause = 60 * time.Millisecond
+	checkPause = 100 * time.Millisecond
+
+	// checkTimeout bounds such a read; a slow store takes 0.3 s.
+	checkTimeout = 600 * time.Millisecond
+
+	// maxReads bounds the reads in progress; it is above what checkTimeout and checkPause allow.
+	maxReads = 8
 
 	// tryLeast and tryReads, in times of a read, bound one try: a transaction takes as long as
 	// three reads, and waits for its turn.
@@ -227,6 +233,8 @@
 
 // try makes one transaction. When its answer is late the owner's row tells whether it took
 // effect, and how slow the store is; a try that takes much longer than reads do ends as unknown.
+// Reads that are not answered do not delay the next ones, so that a store that was silent is
+// noticed as soon as it is back.
 func (l *Ledger) try(ctx context.Context, c table.Commit) (table.Result, time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -236,30 +244,50 @@
 		done <- answered{res, clock}
 	}()
 	begun := l.Now()
-	wait := firstCheck
+	reads := make(chan reading, maxReads)
+	open := 0
+	timer := time.NewTimer(firstCheck)
+	defer timer.Stop()
 	for {
-		timer := time.NewTimer(wait)
 		select {
 		case a := <-done:
-			timer.Stop()
 			return a.result, a.clock
 		case <-timer.C:
+			timer.Reset(checkPause)
+			if open < maxReads {
+				open++
+				go func() { reads <- l.timedRead(ctx) }()
+			}
+			continue
+		case r := <-reads:
+			open--
+			switch {
+			case r.err == nil && l.mine(r.owner):
+				return table.Result{Outcome: table.Committed, Version: r.owner.Version}, r.owner.Clock
+			case r.err == nil && r.owner.Version != l.version:
+				return table.Result{Outcome: table.Conflict}, 0
+			case l.Now().Sub(begun) > max(tryLeast, tryReads*r.took), ctx.Err() != nil:
+				return table.Result{Outcome: table.Unknown, Err: errors.New("ledger: transaction without an answer")}, 0
+			}
 		}
-		read := l.Now()
-		o, err := l.Read(ctx)
-		took := l.Now().Sub(read)
-		switch {
-		case err == nil && l.mine(o):
-			return table.Result{Outcome: table.Committed, Version: o.Version}, o.Clock
-		case err == nil && o.Version != l.version:
-			return table.Result{Outcome: table.Conflict}, 0
-		case l.Now().Sub(begun) > max(tryLeast, tryReads*took), ctx.Err() != nil:
-			return table.Result{Outcome: table.Unknown, Err: errors.New("ledger: transaction without an answer")}, 0
-		}
-		wait = checkPause
 	}
 }
 
+// reading is the end of one read of the owner's row.
+type reading struct {
+	owner *Owner
+	took  time.Duration
+	err   error
+}
+
+func (l *Ledger) timedRead(ctx context.Context) reading {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	begun := l.Now()
+	o, err := l.Read(ctx)
+	return reading{o, l.Now().Sub(begun), err}
+}
+
 // mine reports whether the row was written by the commit in progress.
 func (l *Ledger) mine(o *Owner) bool {
 	r := o.Record
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -207,3 +207,45 @@
 	assert.NilError(t, err)
 	assert.Assert(t, o.Vacant())
 }
+
+// While the store is silent calls hang; those made after its return are answered, and the commit
+// must not wait for the earlier ones.
+func TestReturnOfASilentStoreIsNoticed(t *testing.T) {
+	s := newStore()
+	a := s.ledger("a", 1)
+	take(t, a)
+	var mu sync.Mutex
+	hanging, sends := 3, 0
+	hang := func(ctx context.Context, silent bool) {
+		if silent {
+			<-ctx.Done()
+		}
+	}
+	a.Send = func(ctx context.Context, c table.Commit) (table.Result, time.Duration) {
+		mu.Lock()
+		sends++
+		first := sends == 1
+		mu.Unlock()
+		hang(ctx, first)
+		if first {
+			return table.Result{Outcome: table.Unknown}, 0
+		}
+		return s.send(ctx, c)
+	}
+	a.Scan = func(ctx context.Context, prefix, after string, limit int) (ledger.Page, error) {
+		mu.Lock()
+		hanging--
+		silent := hanging >= 0
+		mu.Unlock()
+		if silent {
+			<-t.Context().Done()
+			return ledger.Page{}, t.Context().Err()
+		}
+		return s.scan(ctx, prefix, after, limit)
+	}
+	a.Now = time.Now
+	_, err := a.Commit(t.Context(), put("job/1", "x"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, sends, 2)
+	assert.Equal(t, string(s.rows["job/1"].Value), "x")
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -79,6 +79,9 @@
 }
 
 func exchange(ctx context.Context, stream *yamux.Stream, req *wire.Request) (*wire.Response, Outcome, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, NotSent, errors.Wrap(err, "peer: call ended before it was sent")
+	}
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -131,3 +131,18 @@
 		})
 	}
 }
+
+// Guards against an outcome that is called unknown although nothing was sent.
+func TestCallAfterItsDeadlineIsNotSent(t *testing.T) {
+	server := &peer.Server{Handle: echo}
+	client := peer.Client{Dial: pipeDial(t.Context(), server)}
+	defer client.Close()
+	_, outcome, err := client.Call(t.Context(), "a", fetch(1))
+	assert.NilError(t, err)
+	assert.Check(t, outcome == peer.Answered)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, outcome, err = client.Call(ctx, "a", fetch(2))
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Check(t, outcome == peer.NotSent)
+}
