Wait after a takeover only for executors where a job's tasks can run; keep many jobs in a row

In a slow store (0.5 s a transaction) the limit of 98 rows a commit kept finals waiting behind accepts. Change: a job's progress names the executors on which its tasks may be started (places), stored before they are; only these are waited for. One row holds entries of many jobs. The load test's arrivals and run times no longer depend on decisions; the driver test's executor lists what it runs (it listed nothing, so that runs were given up and started again).

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -18,6 +18,10 @@
 	// spareAsked is asked for beyond what the learned share demands.
 	spareAsked = 2
 
+	// roomFactor times the tasks that wait is the room that executors are chosen for: other steps
+	// may be faster.
+	roomFactor = 1.15
+
 	// longDecide parts queues whose calls take long from those that urgent work waits for.
 	longDecide = 100 * time.Millisecond
 
@@ -68,6 +72,10 @@
 		if q := c.question(now, w); q != nil {
 			q.Long = long
 			w.asking = true
+			if !long {
+				// The places are stored while the call is made.
+				c.propose(w, q.Executors)
+			}
 			c.Count.AdviceAsked += int64(len(q.Executors))
 			return q
 		}
@@ -80,12 +88,6 @@
 func (c *Core) question(now time.Time, w *work) *Question {
 	valid := now.Add(ticketMargin + w.queue.Advice.PerExecutor*usualAsked + w.queue.Advice.Decide)
 	room := 0
-	type option struct {
-		ex      *executor
-		fits    int
-		renewal bool
-		penalty float64
-	}
 	var options []option
 	for _, ex := range c.ordered {
 		id := ex.ID
@@ -106,7 +108,7 @@
 		if seen && judged == ex.life && !good {
 			continue
 		}
-		options = append(options, option{ex, fits, good, penalty(w, ex)})
+		options = append(options, option{ex: ex, fits: fits, renewal: good, penalty: penalty(w, ex)})
 	}
 	need := len(w.pending)
 	if room >= need || len(options) == 0 {
@@ -115,6 +117,31 @@
 	if w.spec.Gang && !c.gangFits(w, room, len(options)) {
 		return nil
 	}
+	most := maxAsked
+	if w.queue.Advice.Decide > longDecide {
+		most = usualAsked
+	}
+	q := &Question{Step: w.step, work: w, lives: make(map[string]int64), asked: now}
+	for _, ex := range choose(options, room, need, c.share(w.queue.Name).value, most) {
+		q.Executors = append(q.Executors, ex.ID)
+		q.lives[ex.ID] = ex.life
+	}
+	return q
+}
+
+// option is an executor that has room for tasks of a step.
+type option struct {
+	ex *executor
+	// fits is the number of tasks for which there is room.
+	fits int
+	// renewal is set when the executor is known to be allowed for the step.
+	renewal bool
+	penalty float64
+}
+
+// choose returns the best executors for the tasks that find no room yet, at most so many; share
+// is how many of them can be expected to be allowed.
+func choose(options []option, room, need int, share float64, most int) []*executor {
 	sort.Slice(options, func(i, k int) bool {
 		a, b := options[i], options[k]
 		if a.renewal != b.renewal {
@@ -128,29 +155,24 @@
 		}
 		return a.ex.ID < b.ex.ID
 	})
-	share := c.share(w.queue.Name).value
-	q := &Question{Step: w.step, work: w, lives: make(map[string]int64), asked: now}
+	var chosen []*executor
 	expected := float64(room)
 	spare := spareAsked
-	for _, o := range options {
-		if len(q.Executors) >= maxAsked || len(q.Executors) >= usualAsked && w.queue.Advice.Decide > longDecide {
-			break
-		}
-		if expected >= float64(need)*1.15 {
+	for _, o := range options[:min(len(options), most)] {
+		if expected >= float64(need)*roomFactor {
 			if spare == 0 {
 				break
 			}
 			spare--
 		}
-		q.Executors = append(q.Executors, o.ex.ID)
-		q.lives[o.ex.ID] = o.ex.life
+		chosen = append(chosen, o.ex)
 		if o.renewal {
 			expected += float64(o.fits)
 		} else {
 			expected += share * float64(o.fits)
 		}
 	}
-	return q
+	return chosen
 }
 
 // gangFits reports whether a gang could find room among what may be allowed.
@@ -224,6 +246,11 @@
 	if valid <= 0 && w.queue.Advice != nil {
 		valid = w.queue.Advice.Valid
 	}
+	ids := make([]string, 0, len(tickets))
+	for _, t := range tickets {
+		ids = append(ids, t.Executor)
+	}
+	c.propose(w, ids)
 	for _, t := range tickets {
 		// The ticket counts from some time before its answer arrived.
 		w.tickets[t.Executor] = ticket{value: t.Value, until: now.Add(valid), life: q.lives[t.Executor]}
--- a/internal/cell/chaos_test.go
+++ b/internal/cell/chaos_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -40,8 +41,10 @@
 	o := w.takeOver()
 	w.run(time.Second)
 	jobs := 0
+	replies := make(map[string]*cell.Reply)
 	submit := func() {
-		w.submit(w.owners[len(w.owners)-1], fmt.Sprintf("j%d", jobs), w.randomSpec())
+		id := fmt.Sprintf("j%d", jobs)
+		replies[id] = w.submit(w.owners[len(w.owners)-1], id, w.randomSpec())
 		jobs++
 	}
 	for range 30 {
@@ -59,8 +62,9 @@
 	for i := range jobs {
 		id := fmt.Sprintf("j%d", i)
 		r := last.core.State(id)
-		if r.State != flow.Completed && r.State != flow.Failed && w.rows["job/"+id] != nil {
-			t.Errorf("job %s is accepted and still %s", id, r.State)
+		accepted := replies[id].Outcome == cell.Accepted || r.Outcome == cell.Found
+		if accepted && r.State != flow.Completed && r.State != flow.Failed {
+			t.Errorf("job %s is accepted, and at the end %s and %s", id, r.Outcome, r.State)
 		}
 		if r.State == flow.Completed {
 			completed++
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -64,10 +64,9 @@
 	// timed are the jobs with occurrences that are not due yet.
 	timed map[string]*job
 
-	// used has the executors that belong into the row of the store.
-	used map[string]bool
-	// earlier has those that earlier owners may have used and that have not been claimed.
-	earlier map[string]bool
+	// locked has, by executor, the steps whose tasks an earlier owner may have started there; they
+	// wait until the executor is claimed.
+	locked map[string][]*work
 
 	// proven is the start of the last commit that took effect.
 	proven time.Time
@@ -116,8 +115,14 @@
 	accepted bool
 	// shown is the final state that is stored, or Pending.
 	shown flow.State
-	// earlier is set for jobs whose tasks an earlier owner may have started.
-	earlier bool
+	// restored is set for jobs that were accepted by an earlier owner.
+	restored bool
+	// storing is set once the job is part of a commit.
+	storing bool
+	// specPage and progressPage are the rows of the store that hold it.
+	specPage, progressPage *page
+	// pages is the number of rows with an entry of the job, needed or not.
+	pages int
 	// objective is the time until which the job earns its full credit.
 	objective time.Time
 	// home is the failure domain where its tasks run if there is room: a cut between domains
@@ -219,8 +224,7 @@
 	c.jobs = make(map[string]*job)
 	c.execs = make(map[string]*executor)
 	c.timed = make(map[string]*job)
-	c.used = make(map[string]bool)
-	c.earlier = make(map[string]bool)
+	c.locked = make(map[string][]*work)
 	c.waiting = make(map[string]int64)
 	c.shares = make(map[string]*goodShare)
 	c.busy = make(map[int]int64)
@@ -303,7 +307,7 @@
 	for _, ex := range c.ordered {
 		c.checkLease(now, ex)
 	}
-	c.unlockEarlier(now)
+	c.unlockInTime(now)
 	if c.StoreAway(now) {
 		c.rejectFresh(now)
 	}
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -153,7 +153,7 @@
 	var rows [3][]table.Row
 	var errs [3]error
 	var wg sync.WaitGroup
-	for i, prefix := range []string{ledger.FleetKey, ledger.JobPrefix, ledger.ProgressPrefix} {
+	for i, prefix := range []string{ledger.JobPrefix, ledger.ProgressPrefix, ledger.EndPrefix} {
 		wg.Go(func() { rows[i], errs[i] = d.Ledger.All(ctx, prefix) })
 	}
 	wg.Wait()
@@ -165,8 +165,9 @@
 	if err := d.core.Restore(d.Ledger.Now(), rows[0], rows[1], rows[2]); err != nil {
 		return err
 	}
-	d.Log.WithField("epoch", epoch).WithField("jobs", len(d.core.jobs)).WithField("works", len(rows[1])).
-		WithField("earlier_executors", len(d.core.earlier)).
+	d.Log.WithField("epoch", epoch).WithField("jobs", len(d.core.jobs)).WithField("open_jobs", d.core.openJobs()).
+		WithField("rows", len(rows[0])+len(rows[1])+len(rows[2])).
+		WithField("unclaimed_executors", len(d.core.locked)).
 		WithField("took_ms", d.Ledger.Now().Sub(sent).Milliseconds()).Info("cell taken over")
 	return nil
 }
--- a/internal/cell/driver_test.go
+++ b/internal/cell/driver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 	version := int64(0)
 	begun := time.Now()
 	started := make(map[string]int)
+	var running []fleet.Run
 	release := make(chan struct{})
 	d := &cell.Driver{
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second,
@@ -48,13 +50,18 @@
 			return nil, 0, ctx.Err()
 		},
 		Look: func(context.Context, fleet.Executor, fleet.Look) fleet.Answer {
-			return fleet.Answer{Verdict: fleet.Obeyed, HasClock: true, Clock: time.Since(begun)}
+			mu.Lock()
+			defer mu.Unlock()
+			return fleet.Answer{Verdict: fleet.Obeyed, HasClock: true, Clock: time.Since(begun), Runs: slices.Clone(running)}
 		},
 		Start: func(_ context.Context, _ fleet.Executor, o fleet.Start) fleet.Answer {
 			mu.Lock()
 			started[o.Task.Job]++
 			mu.Unlock()
 			<-release
+			mu.Lock()
+			defer mu.Unlock()
+			running = append(running, fleet.Run{Task: o.Task, Number: o.Number})
 			return fleet.Answer{Verdict: fleet.Obeyed}
 		},
 		Stop: func(context.Context, fleet.Executor, fleet.Stop) fleet.Answer {
@@ -73,7 +80,7 @@
 		cancel()
 		assert.ErrorIs(t, <-ended, context.Canceled)
 	}()
-	running := func(job string, n int) {
+	waitStarts := func(job string, n int) {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			mu.Lock()
 			defer mu.Unlock()
@@ -84,7 +91,7 @@
 		}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
 	}
 	assert.Equal(t, d.Submit(ctx, "first", oneStep(testQueue, 2, time.Second)).Outcome, cell.Accepted)
-	running("first", 2) // both lanes wait for an answer
+	waitStarts("first", 2) // both lanes wait for an answer
 	assert.Equal(t, d.Submit(ctx, "second", oneStep(testQueue, 1, time.Second)).Outcome, cell.Accepted)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if d.Counters(ctx).Starts == 3 {
@@ -95,7 +102,7 @@
 	assert.Equal(t, d.Cancel(ctx, "second").Outcome, cell.Accepted)
 	assert.Equal(t, d.Submit(ctx, "third", oneStep(testQueue, 1, time.Second)).Outcome, cell.Accepted)
 	close(release)
-	running("third", 1) // its start came after that of the second job
+	waitStarts("third", 1) // its start came after that of the second job
 	mu.Lock()
 	defer mu.Unlock()
 	assert.Equal(t, started["second"], 0)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -54,12 +54,10 @@
 	listed bool
 	// unlisted is when the entry was removed; entries also lapse while the store is away.
 	unlisted time.Time
-	// claimed is set when it has answered under this epoch.
-	claimed bool
-	// stored is set once the row of the fleet names it; before, a successor would not know of its tasks.
-	stored bool
-	life   int64
-	misses int
+	// claimed is set when it has answered under this epoch, searched when all that it ran is known.
+	claimed, searched bool
+	life              int64
+	misses            int
 	// doubts is the number of starts without an answer since its last answer.
 	doubts int
 	runs   map[string]*run
@@ -102,7 +100,7 @@
 func (c *Core) SetExecutor(now time.Time, e fleet.Executor) {
 	ex := c.execs[e.ID]
 	if ex == nil {
-		ex = &executor{Executor: e, runs: make(map[string]*run), slow: 1, stored: c.used[e.ID]}
+		ex = &executor{Executor: e, runs: make(map[string]*run), slow: 1}
 		c.execs[e.ID] = ex
 		i, _ := slices.BinarySearchFunc(c.ordered, e.ID, func(ex *executor, id string) int { return cmp.Compare(ex.ID, id) })
 		c.ordered = slices.Insert(c.ordered, i, ex)
@@ -144,7 +142,7 @@
 
 // cordon keeps new tasks away from executors that must not get any.
 func (c *Core) cordon(ex *executor) {
-	c.room.Cordon(ex.ID, ex.Draining || !ex.claimed || ex.misses >= silentAfter || !ex.stored)
+	c.room.Cordon(ex.ID, ex.Draining || !ex.claimed || ex.misses >= silentAfter)
 	c.free(ex)
 }
 
@@ -154,7 +152,7 @@
 	if !c.mayStart(now) || c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
 		return false
 	}
-	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && ex.stored && !now.Before(ex.badUntil)
+	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && !now.Before(ex.badUntil)
 }
 
 // leaseEnd returns the end of the lease that may be told now, on the executor's clock.
@@ -280,11 +278,6 @@
 	c.room.RemoveWorker(ex.ID)
 	delete(c.execs, ex.ID)
 	c.ordered = slices.DeleteFunc(slices.Clone(c.ordered), func(other *executor) bool { return other == ex })
-	delete(c.earlier, ex.ID)
-	if c.used[ex.ID] {
-		delete(c.used, ex.ID)
-		c.keep.fleet = true
-	}
 	c.Log.WithField("executor", ex.ID).Info("executor forgotten")
 }
 
@@ -308,27 +301,6 @@
 	return c.Taken.Add(time.Duration(float64(c.Lease)/(1-clockDrift)) + lapseMargin)
 }
 
-// unlockEarlier lets the tasks of earlier owners start once none of them can run unseen.
-func (c *Core) unlockEarlier(now time.Time) {
-	if c.earlier == nil {
-		return
-	}
-	if len(c.earlier) > 0 && now.Before(c.allLapsed()) {
-		return
-	}
-	c.Log.WithField("after_ms", now.Sub(c.Taken).Milliseconds()).WithField("unreached", len(c.earlier)).
-		Info("all executors of earlier owners are claimed or their leases have ended")
-	c.earlier = nil
-	for _, j := range c.jobs {
-		if j.earlier {
-			j.earlier = false
-			for _, w := range j.works {
-				c.refill(w)
-			}
-		}
-	}
-}
-
 // noteFailure keeps new tasks away from an executor that fails several in a row.
 func (ex *executor) noteFailure(now time.Time) bool {
 	if now.Sub(ex.failedAt) > failureMemory {
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -1,12 +1,10 @@
 package cell
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/internal/ledger"
 	"github.com/daisyrack/daisyrack/pkg/table"
@@ -24,27 +22,26 @@
 
 	// expireInterval is the time between two sweeps of ended jobs.
 	expireInterval = 5 * time.Second
-
-	// expirePerSweep bounds the rows dropped by one sweep.
-	expirePerSweep = 50
 )
 
 // keeping is what has to be stored.
 type keeping struct {
-	fresh   []*job
-	dirty   map[string]*job
-	final   []*job
-	drops   []string
-	fleet   bool
-	newUsed map[string]bool
-	ends    bool
-	endsAt  time.Time
-	swept   time.Time
+	fresh []*job
+	dirty map[string]*job
+	final []*job
+	// drops are rows of which no entry is needed any more.
+	drops []*page
+	// serial numbers the rows of this epoch.
+	serial int
+	// places is set when executors of steps have to be stored before tasks start there.
+	places bool
+	ends   bool
+	endsAt time.Time
+	swept  time.Time
 }
 
 func (k *keeping) prepare() {
 	k.dirty = make(map[string]*job)
-	k.newUsed = make(map[string]bool)
 }
 
 func (k *keeping) add(j *job) { k.fresh = append(k.fresh, j) }
@@ -64,15 +61,34 @@
 	dirty   []*job
 	final   []*job
 	states  []flow.State
+	// pages are the rows that the batch writes, dropped those that it deletes.
+	pages   []*page
+	dropped []*page
 	forget  map[string]int64
 	lives   map[string]int64
-	fleet   []string
+	// places are the executors of steps that are stored with the batch.
+	places []places
+}
+
+// Ended returns the jobs whose final state is stored with the batch.
+func (b *Batch) Ended() []string {
+	ids := make([]string, 0, len(b.final))
+	for _, j := range b.final {
+		ids = append(ids, j.ID)
+	}
+	return ids
+}
+
+// places are executors on which tasks of a step may be started once they are stored.
+type places struct {
+	work      *work
+	executors []string
 }
 
 // CommitDue reports whether something waits for a commit: callers at once, ends after a while.
 func (c *Core) CommitDue(now time.Time) bool {
 	k := &c.keep
-	if len(k.fresh) > 0 || len(k.final) > 0 || k.fleet {
+	if len(k.fresh) > 0 || len(k.final) > 0 || k.places {
 		return true
 	}
 	if !k.ends && len(k.dirty) == 0 && len(k.drops) == 0 {
@@ -89,46 +105,59 @@
 func (c *Core) NextBatch() (*Batch, error) {
 	k := &c.keep
 	b := &Batch{}
-	if err := c.putFleet(b); err != nil {
-		return nil, err
-	}
-	for len(k.fresh) > 0 && len(b.Puts) < ledger.MaxRows/2 && b.bytes() < ledger.MaxBytes {
+	specs := pager{core: c, batch: b, prefix: ledger.JobPrefix}
+	progress := pager{core: c, batch: b, prefix: ledger.ProgressPrefix}
+	ends := pager{core: c, batch: b, prefix: ledger.EndPrefix}
+	full := func() bool { return specs.bytes+progress.bytes+ends.bytes >= ledger.MaxBytes }
+	for len(k.fresh) > 0 && !full() {
 		j := k.fresh[0]
-		value, err := proto.Marshal(j.Spec.Record())
-		if err != nil {
+		if err := specs.add(j, &wire.PageEntry{Job: j.ID, Spec: j.Spec.Record()}); err != nil {
 			return nil, err
 		}
-		b.Puts = append(b.Puts, table.Put{Key: ledger.JobPrefix + j.ID, Value: value})
 		b.created = append(b.created, j)
+		j.storing = true
 		k.fresh = k.fresh[1:]
 	}
-	for len(k.final) > 0 && b.rows() < ledger.MaxRows-1 && b.bytes() < ledger.MaxBytes {
+	for len(k.final) > 0 && !full() {
 		j := k.final[0]
 		if slices.Contains(k.fresh, j) {
 			break
 		}
-		if err := c.putProgress(b, j); err != nil {
+		if err := ends.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
 			return nil, err
 		}
-		b.Deletes = append(b.Deletes, ledger.JobPrefix+j.ID)
 		b.final = append(b.final, j)
 		b.states = append(b.states, j.State)
 		delete(k.dirty, j.ID)
 		k.final = k.final[1:]
 	}
-	b.Puts = slices.DeleteFunc(b.Puts, func(p table.Put) bool { return slices.Contains(b.Deletes, p.Key) })
-	for id, j := range k.dirty {
-		if b.rows() >= ledger.MaxRows || b.bytes() >= ledger.MaxBytes {
+	for _, id := range slices.Sorted(maps.Keys(k.dirty)) {
+		j := k.dirty[id]
+		if !j.storing {
+			continue // its text has to be stored first
+		}
+		if full() {
 			break
 		}
-		if err := c.putProgress(b, j); err != nil {
+		if err := progress.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
 			return nil, err
 		}
 		b.dirty = append(b.dirty, j)
+		b.addPlaces(j)
 		delete(k.dirty, id)
 	}
+	for _, p := range []*pager{&specs, &progress, &ends} {
+		if err := p.flush(); err != nil {
+			return nil, err
+		}
+	}
+	k.places = false
+	for _, j := range k.dirty {
+		k.places = k.places || j.storing
+	}
 	for len(k.drops) > 0 && b.rows() < ledger.MaxRows {
-		b.Deletes = append(b.Deletes, ledger.ProgressPrefix+k.drops[0])
+		b.Deletes = append(b.Deletes, k.drops[0].key)
+		b.dropped = append(b.dropped, k.drops[0])
 		k.drops = k.drops[1:]
 	}
 	if len(k.dirty) == 0 && len(k.final) == 0 {
@@ -148,51 +177,19 @@
 	return len(b.Puts) + len(b.Deletes)
 }
 
-func (b *Batch) bytes() int {
-	n := 0
-	for _, p := range b.Puts {
-		n += len(p.Value)
-	}
-	return n
-}
-
-func (c *Core) putProgress(b *Batch, j *job) error {
-	value, err := j.Progress()
-	if err != nil {
-		return err
-	}
-	b.Puts = append(b.Puts, table.Put{Key: ledger.ProgressPrefix + j.ID, Value: value})
-	return nil
-}
-
-// putFleet writes the executors that may hold tasks from this commit on.
-func (c *Core) putFleet(b *Batch) error {
-	if !c.keep.fleet {
-		return nil
-	}
-	c.keep.fleet = false
-	ids := make(map[string]bool)
-	for id := range c.used {
-		ids[id] = true
-	}
-	for id := range c.earlier {
-		ids[id] = true
-	}
-	r := &wire.FleetRecord{}
-	for id := range ids {
-		r.Executors = append(r.Executors, id)
-	}
-	slices.Sort(r.Executors)
-	value, err := proto.Marshal(r)
-	if err != nil {
-		return err
-	}
-	b.Puts = append(b.Puts, table.Put{Key: ledger.FleetKey, Value: value})
-	for id := range c.keep.newUsed {
-		b.fleet = append(b.fleet, id)
+// addPlaces notes the executors of the job's steps that are stored with the batch.
+func (b *Batch) addPlaces(j *job) {
+	for _, w := range j.works {
+		p := places{work: w}
+		for _, id := range j.Places(w.step) {
+			if !w.stored[id] {
+				p.executors = append(p.executors, id)
+			}
+		}
+		if len(p.executors) > 0 {
+			b.places = append(b.places, p)
+		}
 	}
-	clear(c.keep.newUsed)
-	return nil
 }
 
 // Refused takes a batch back of which nothing was stored: its new jobs are rejected, the rest is
@@ -213,22 +210,11 @@
 	for _, j := range b.created {
 		c.reject(now, j)
 	}
-	for _, key := range b.Deletes {
-		if id, ok := strings.CutPrefix(key, ledger.ProgressPrefix); ok {
-			k.drops = append(k.drops, id)
-		}
-	}
-	for _, id := range b.fleet {
-		k.newUsed[id] = true
-	}
-	k.fleet = k.fleet || b.putsFleet()
+	k.drops = append(k.drops, b.dropped...)
+	k.places = k.places || len(b.places) > 0
 	k.ends = k.ends || b.forget != nil
 }
 
-func (b *Batch) putsFleet() bool {
-	return slices.ContainsFunc(b.Puts, func(p table.Put) bool { return p.Key == ledger.FleetKey })
-}
-
 // Committed does what had to wait for the commit.
 func (c *Core) Committed(now time.Time, b *Batch) {
 	c.commitTook = now.Sub(c.proven)
@@ -236,11 +222,19 @@
 		c.refuses = false
 		c.Log.Info("store takes commits again")
 	}
-	for _, id := range b.fleet {
-		if ex := c.execs[id]; ex != nil {
-			ex.stored = true
-			c.cordon(ex)
+	for _, p := range b.pages {
+		c.settle(p)
+	}
+	for _, p := range b.dropped {
+		for _, j := range p.jobs {
+			j.pages--
+		}
+	}
+	for _, p := range b.places {
+		for _, id := range p.executors {
+			p.work.stored[id] = true
 		}
+		p.work.untried = true
 	}
 	for _, j := range b.created {
 		j.accepted = true
@@ -252,6 +246,8 @@
 	for i, j := range b.final {
 		j.accepted = true
 		j.shown = b.states[i]
+		c.leave(j.specPage)
+		j.specPage = nil
 		c.Log.WithField("job", j.ID).WithField("state", j.shown.String()).
 			WithField("took_ms", now.Sub(j.Spec.Accepted).Milliseconds()).
 			WithField("late_ms", now.Sub(j.objective).Milliseconds()).
@@ -283,19 +279,17 @@
 	return nil
 }
 
-// expire drops jobs that ended long ago.
+// expire forgets jobs that ended long ago. A final state stays as long as another row has an entry
+// of the job, which would count again without it.
 func (k *keeping) expire(c *Core, now time.Time) {
-	if now.Sub(k.swept) < expireInterval || len(k.drops) > 0 {
+	if now.Sub(k.swept) < expireInterval {
 		return
 	}
 	k.swept = now
 	for id, j := range c.jobs {
-		if j.shown.Final() && len(j.runs) == 0 && now.Sub(j.Ended) > keepEnded {
+		if j.shown.Final() && len(j.runs) == 0 && now.Sub(j.Ended) > keepEnded && j.pages <= 1 {
 			delete(c.jobs, id)
-			k.drops = append(k.drops, id)
-			if len(k.drops) >= expirePerSweep {
-				return
-			}
+			c.leave(j.progressPage)
 		}
 	}
 }
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -70,7 +70,7 @@
 		}
 		w.submitted++
 		w.submit(o, fmt.Sprintf("l%05d", w.submitted), spec)
-		w.after(time.Duration(w.rng.ExpFloat64()/l.perS*float64(time.Second)), next)
+		w.after(time.Duration(w.arrivals.ExpFloat64()/l.perS*float64(time.Second)), next)
 	}
 	w.after(0, next)
 }
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -50,6 +50,7 @@
 				c.lose(now, r, "executor does not know the run")
 			}
 		}
+		c.unlock(ex.ID)
 	}
 	c.control(now, ex)
 }
@@ -94,12 +95,6 @@
 	}
 	if !ex.claimed {
 		ex.claimed = true
-		delete(c.earlier, ex.ID)
-		if !c.used[ex.ID] {
-			c.used[ex.ID] = true
-			c.keep.fleet = true
-			c.keep.newUsed[ex.ID] = true
-		}
 		c.Log.WithField("executor", ex.ID).WithField("runs", len(ans.Runs)).WithField("ends", len(ans.Ends)).
 			Info("executor claimed")
 	} else {
--- /dev/null
+++ b/internal/cell/page.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/daisyrack/daisyrack/internal/ledger"
+	"github.com/daisyrack/daisyrack/pkg/table"
+	"github.com/daisyrack/daisyrack/pkg/wire"
+)
+
+// page is a row of the store with entries of several jobs: a commit writes few rows, however many
+// jobs it concerns. A newer entry of a job replaces the older one, and a row without a needed
+// entry is dropped.
+type page struct {
+	key string
+	// jobs are those with an entry, needed or not.
+	jobs []*job
+	// spec tells entries of what callers handed in from progress.
+	spec bool
+	// live is the number of entries that are still needed.
+	live int
+}
+
+// pager collects entries into rows of a batch.
+type pager struct {
+	core   *Core
+	batch  *Batch
+	prefix string
+
+	record wire.PageRecord
+	jobs   []*job
+	// size is that of the row in progress, bytes that of all rows.
+	size, bytes int
+}
+
+// add appends an entry; a row that is full is put into the batch.
+func (p *pager) add(j *job, e *wire.PageEntry) error {
+	n := proto.Size(e)
+	if p.size > 0 && p.size+n > ledger.MaxPageBytes {
+		if err := p.flush(); err != nil {
+			return err
+		}
+	}
+	p.record.Entries = append(p.record.Entries, e)
+	p.jobs = append(p.jobs, j)
+	p.size += n
+	p.bytes += n
+	return nil
+}
+
+// flush puts the row in progress into the batch.
+func (p *pager) flush() error {
+	if len(p.jobs) == 0 {
+		return nil
+	}
+	value, err := proto.Marshal(&p.record)
+	if err != nil {
+		return err
+	}
+	p.core.keep.serial++
+	// Keys sort in the order of writing, over all owners.
+	key := fmt.Sprintf("%s%010d.%010d", p.prefix, p.core.Epoch, p.core.keep.serial)
+	p.batch.Puts = append(p.batch.Puts, table.Put{Key: key, Value: value})
+	p.batch.pages = append(p.batch.pages, &page{key: key, jobs: p.jobs, spec: p.prefix == ledger.JobPrefix})
+	p.record.Entries, p.jobs, p.size = nil, nil, 0
+	return nil
+}
+
+// settle makes the entries of a stored row the newest ones of their jobs.
+func (c *Core) settle(p *page) {
+	for _, j := range p.jobs {
+		j.pages++
+		c.enter(p, j)
+	}
+}
+
+// enter makes a row the one that holds a job.
+func (c *Core) enter(p *page, j *job) {
+	held := &j.progressPage
+	if p.spec {
+		held = &j.specPage
+	}
+	p.live++
+	c.leave(*held)
+	*held = p
+}
+
+// leave notes that an entry of a row is not needed any more.
+func (c *Core) leave(p *page) {
+	if p == nil {
+		return
+	}
+	p.live--
+	if p.live == 0 {
+		c.keep.drops = append(c.keep.drops, p)
+	}
+}
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -13,58 +14,95 @@
 	"github.com/daisyrack/daisyrack/pkg/wire"
 )
 
-// Restore takes over the jobs of earlier owners from their rows.
-func (c *Core) Restore(now time.Time, fleetRows, jobRows, progressRows []table.Row) error {
-	for _, row := range fleetRows {
-		if row.Key != ledger.FleetKey {
-			continue
-		}
-		var r wire.FleetRecord
-		if err := proto.Unmarshal(row.Value, &r); err != nil {
-			return errors.Wrap(err, "cell: unable to decode the row of the fleet")
-		}
-		for _, id := range r.GetExecutors() {
-			c.used[id] = true
-			c.earlier[id] = true
-		}
+// Restore takes over the jobs of earlier owners from the rows of the store: what callers handed in,
+// progress and final states, each in the order in which they were written.
+func (c *Core) Restore(now time.Time, jobRows, progressRows, endRows []table.Row) error {
+	specs, err := readPages(jobRows)
+	if err != nil {
+		return err
 	}
-	specs, err := decodeSpecs(jobRows)
+	progress, err := readPages(progressRows)
 	if err != nil {
 		return err
 	}
-	for _, row := range progressRows {
-		id := strings.TrimPrefix(row.Key, ledger.ProgressPrefix)
-		var kept wire.ProgressRecord
-		if err := proto.Unmarshal(row.Value, &kept); err != nil {
-			return errors.Wrapf(err, "cell: unable to decode the progress of job %s", id)
-		}
-		if err := c.restoreJob(now, id, specs[id], &kept); err != nil {
-			return err
-		}
-		delete(specs, id)
+	ends, err := readPages(endRows)
+	if err != nil {
+		return err
 	}
-	for id, spec := range specs {
-		if err := c.restoreJob(now, id, spec, &wire.ProgressRecord{Queue: spec.GetQueue(), State: flow.Pending.String()}); err != nil {
+	newest := newestOf(append(progress, ends...))
+	texts := newestOf(specs)
+	for id, e := range newest {
+		if err := c.restoreJob(now, id, texts[id].entry.GetSpec(), e.entry.GetProgress()); err != nil {
 			return err
 		}
+		c.enter(e.page, c.jobs[id])
 	}
-	if len(c.earlier) == 0 {
-		c.unlockEarlier(now)
+	for id, e := range texts {
+		if c.jobs[id] == nil {
+			kept := &wire.ProgressRecord{Queue: e.entry.GetSpec().GetQueue(), State: flow.Pending.String()}
+			if err := c.restoreJob(now, id, e.entry.GetSpec(), kept); err != nil {
+				return err
+			}
+		}
+		if !c.jobs[id].State.Final() {
+			c.enter(e.page, c.jobs[id])
+		}
 	}
+	c.countPages(slices.Concat(specs, progress, ends))
 	return nil
 }
 
-func decodeSpecs(rows []table.Row) (map[string]*wire.JobRecord, error) {
-	specs := make(map[string]*wire.JobRecord, len(rows))
+// countPages notes which rows hold entries of which jobs, and drops those without a needed one.
+func (c *Core) countPages(entries []stored) {
+	for _, e := range entries {
+		j := c.jobs[e.entry.GetJob()]
+		j.pages++
+		e.page.jobs = append(e.page.jobs, j)
+		if len(e.page.jobs) == 1 && e.page.live == 0 {
+			c.keep.drops = append(c.keep.drops, e.page)
+		}
+	}
+}
+
+// stored is an entry of a row.
+type stored struct {
+	entry *wire.PageEntry
+	page  *page
+}
+
+func readPages(rows []table.Row) ([]stored, error) {
+	var out []stored
 	for _, row := range rows {
-		id := strings.TrimPrefix(row.Key, ledger.JobPrefix)
-		spec := &wire.JobRecord{}
-		if err := proto.Unmarshal(row.Value, spec); err != nil {
-			return nil, errors.Wrapf(err, "cell: unable to decode job %s", id)
+		var r wire.PageRecord
+		if err := proto.Unmarshal(row.Value, &r); err != nil {
+			return nil, errors.Wrapf(err, "cell: unable to decode row %s", row.Key)
+		}
+		p := &page{key: row.Key, spec: strings.HasPrefix(row.Key, ledger.JobPrefix)}
+		for _, e := range r.GetEntries() {
+			out = append(out, stored{e, p})
+		}
+	}
+	return out, nil
+}
+
+// newestOf returns the last entry of each job.
+func newestOf(entries []stored) map[string]stored {
+	out := make(map[string]stored, len(entries))
+	for _, e := range entries {
+		out[e.entry.GetJob()] = e
+	}
+	return out
+}
+
+// openJobs returns the number of jobs that have not ended.
+func (c *Core) openJobs() int {
+	n := 0
+	for _, j := range c.jobs {
+		if !j.State.Final() {
+			n++
 		}
-		specs[id] = spec
 	}
-	return specs, nil
+	return n
 }
 
 func (c *Core) restoreJob(now time.Time, id string, spec *wire.JobRecord, kept *wire.ProgressRecord) error {
@@ -83,7 +121,7 @@
 		j.shown = j.State
 		return nil
 	}
-	j.earlier = true
+	j.restored, j.storing = true, true
 	c.addSteps(now, j, j.Resume(now))
 	if _, more := j.NextDue(); more {
 		c.timed[id] = j
--- a/internal/cell/standin_test.go
+++ b/internal/cell/standin_test.go
@@ -1,6 +1,9 @@
 package cell_test
 
 import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -44,7 +47,7 @@
 	x.until = max(x.until, s.Until)
 	w.checkStart(x, s)
 	spec := w.specOf(s.Task)
-	work := time.Duration(float64(spec.Estimate) * (0.5 + w.rng.Float64()))
+	work := time.Duration(float64(spec.Estimate) * (0.5 + w.draw(s.Task)))
 	sp := &span{number: s.Number, executor: x.ID, begin: w.now, open: true}
 	w.history[s.Task] = append(w.history[s.Task], sp)
 	r := &fakeRun{
@@ -172,3 +175,10 @@
 func domainOf(id string) string {
 	return string(rune('a' + (id[len(id)-1]-'0')%3))
 }
+
+// draw returns a number from 0 to 1 for a task, the same in every play of a seed.
+func (w *world) draw(t fleet.Task) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, w.seed, t)
+	return rand.New(rand.NewPCG(w.seed, h.Sum64())).Float64()
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -145,8 +145,8 @@
 	}
 	j.Started = true
 	c.waiting[j.Spec.Queue]--
-	if j.earlier {
-		return // it began under an earlier owner
+	if j.restored {
+		return // it may have begun under an earlier owner
 	}
 	startSeconds.Update(now.Sub(j.Spec.Accepted).Seconds())
 	c.Log.WithField("job", j.ID).WithField("queue", j.Spec.Queue).
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -54,6 +54,12 @@
 	asking     bool
 	askAfter   time.Time
 	onExecutor map[string]int
+	// stored are the executors that the store names for the step: only there tasks are started,
+	// so that a later owner knows where they can run.
+	stored map[string]bool
+	// unclaimed are the executors on which an earlier owner may have started tasks of the step and
+	// that have not been claimed; until then no task is started elsewhere.
+	unclaimed map[string]bool
 	// untried is set when all executors have to be looked at.
 	untried bool
 	avoid   map[string]int
@@ -75,10 +81,7 @@
 // addSteps queues the tasks of steps that may start.
 func (c *Core) addSteps(_ time.Time, j *job, steps []fleet.Step) {
 	for _, s := range steps {
-		w := c.workOf(j, s)
-		if !j.earlier {
-			c.refill(w)
-		}
+		c.refill(c.workOf(j, s))
 	}
 }
 
@@ -108,17 +111,19 @@
 		job: j, step: s, spec: &j.Spec.Steps[s.Step], queue: c.policy.Queue(j.Spec.Queue),
 		tickets: make(map[string]ticket), judged: make(map[string]int64),
 		onExecutor: make(map[string]int), avoid: make(map[string]int),
+		stored: make(map[string]bool), unclaimed: make(map[string]bool),
 	}
 	if w.queue == nil {
 		w.queue = &fleet.Queue{Name: j.Spec.Queue}
 	}
 	j.works[s] = w
+	c.lock(w)
 	return w
 }
 
 // refill makes all tasks of the step pending that are not done and do not run.
 func (c *Core) refill(w *work) {
-	if !w.job.Ready(w.step) {
+	if !w.job.Ready(w.step) || len(w.unclaimed) > 0 {
 		return
 	}
 	w.pending = w.pending[:0]
@@ -205,6 +210,9 @@
 		ex.freed = false
 	}
 	c.works = slices.DeleteFunc(c.works, func(w *work) bool {
+		if w.queue.Advice == nil && len(w.pending) > 0 {
+			c.nominate(now, w)
+		}
 		if w.job.accepted && len(w.pending) > 0 {
 			c.serve(now, w, freed)
 		}
@@ -338,14 +346,14 @@
 	var out []place.Candidate
 	if w.queue.Advice == nil {
 		for _, ex := range c.ordered {
-			if c.mayRun(now, w, ex) {
+			if w.stored[ex.ID] && c.mayRun(now, w, ex) {
 				out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
 			}
 		}
 		return out
 	}
 	for id := range w.tickets {
-		if ex := c.execs[id]; ex != nil && c.allowed(now, w, ex) && c.mayRun(now, w, ex) {
+		if ex := c.execs[id]; ex != nil && w.stored[id] && c.allowed(now, w, ex) && c.mayRun(now, w, ex) {
 			out = append(out, place.Candidate{Worker: id, Penalty: penalty(w, ex)})
 		}
 	}
@@ -356,7 +364,7 @@
 func (c *Core) candidatesAmong(now time.Time, w *work, among []*executor) []place.Candidate {
 	var out []place.Candidate
 	for _, ex := range among {
-		if (w.queue.Advice == nil || c.allowed(now, w, ex)) && c.mayRun(now, w, ex) {
+		if w.stored[ex.ID] && (w.queue.Advice == nil || c.allowed(now, w, ex)) && c.mayRun(now, w, ex) {
 			out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
 		}
 	}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"testing"
 	"time"
 
@@ -23,11 +22,14 @@
 
 // world plays executors, store and policy service for owners, in virtual time.
 type world struct {
-	t      testing.TB
-	rng    *rand.Rand
-	now    time.Time
-	events eventQueue
-	serial int
+	t    testing.TB
+	seed uint64
+	rng  *rand.Rand
+	// arrivals draws when jobs are handed in, whatever became of those before.
+	arrivals *rand.Rand
+	now      time.Time
+	events   eventQueue
+	serial   int
 
 	execs  map[string]*fakeExecutor
 	rows   map[string][]byte
@@ -136,7 +138,7 @@
 func newWorld(t testing.TB, seed uint64, executors int) *world {
 	t.Helper()
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0),
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
 		failShare: 0.02,
 		history:   make(map[fleet.Task][]*span), ended: make(map[string]time.Time),
@@ -211,7 +213,7 @@
 	o := &owner{w: w, cut: make(map[string]bool), looking: make(map[string]bool)}
 	o.core = &cell.Core{Epoch: w.fence, Lease: lease, Taken: w.now, Log: logger}
 	o.core.Begin(w.policy, w.now)
-	if err := o.core.Restore(w.now, w.scan(ledger.FleetKey), w.scan(ledger.JobPrefix), w.scan(ledger.ProgressPrefix)); err != nil {
+	if err := o.core.Restore(w.now, w.scan(ledger.JobPrefix), w.scan(ledger.ProgressPrefix), w.scan(ledger.EndPrefix)); err != nil {
 		w.t.Fatal(err)
 	}
 	w.owners = append(w.owners, o)
@@ -361,10 +363,8 @@
 			o.busy = false
 			o.core.Proven(sent)
 			o.core.Committed(w.now, b)
-			for _, key := range b.Deletes {
-				if id, ok := strings.CutPrefix(key, ledger.JobPrefix); ok {
-					w.ended[id] = w.now
-				}
+			for _, id := range b.Ended() {
+				w.ended[id] = w.now
 			}
 			o.act()
 		})
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -72,6 +72,8 @@
 type progress struct {
 	tasks []Task
 	left  int
+	// places are the executors on which tasks of the step may have been started.
+	places []string
 }
 
 // Task is the state of one task.
@@ -189,6 +191,33 @@
 	return undone
 }
 
+// AddPlaces notes executors on which tasks of an open step may be started from now on, and
+// reports whether any of them is new. A later owner looks for runs of the step only there.
+func (j *Job) AddPlaces(s fleet.Step, executors []string) bool {
+	o := j.open[s.Occurrence]
+	if o == nil {
+		return false
+	}
+	p := &o.steps[s.Step]
+	added := false
+	for _, id := range executors {
+		if !slices.Contains(p.places, id) {
+			p.places = append(p.places, id)
+			added = true
+		}
+	}
+	return added
+}
+
+// Places returns the executors on which tasks of an open step may have been started.
+func (j *Job) Places(s fleet.Step) []string {
+	o := j.open[s.Occurrence]
+	if o == nil {
+		return nil
+	}
+	return o.steps[s.Step].places
+}
+
 // Effect is what an end changed.
 type Effect struct {
 	// Changed is set when the progress has to be written.
--- a/internal/flow/job_test.go
+++ b/internal/flow/job_test.go
@@ -118,7 +118,7 @@
 			ready = append(ready, j.End(start, t, int64(n+1), kind, "saved").Ready...)
 		}
 		kept := &wire.ProgressRecord{}
-		b, err := j.Progress()
+		b, err := proto.Marshal(j.Progress())
 		assert.NilError(rt, err)
 		assert.NilError(rt, proto.Unmarshal(b, kept))
 		again, err := flow.Restore("a", j.Spec.Record(), kept, 3)
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -79,7 +78,7 @@
 }
 
 // Progress returns what has to be kept of the job besides its spec.
-func (j *Job) Progress() ([]byte, error) {
+func (j *Job) Progress() *wire.ProgressRecord {
 	r := &wire.ProgressRecord{Queue: j.Spec.Queue, State: j.keptState().String(), EndedOccurrences: int64(j.ended)}
 	if j.State.Final() {
 		r.EndedMs = j.Ended.UnixMilli()
@@ -99,8 +98,7 @@
 			}
 		}
 	}
-	b, err := proto.Marshal(r)
-	return b, errors.Wrapf(err, "flow: unable to encode progress of job %s", j.ID)
+	return r
 }
 
 // occurrenceEnded in place of a step number says that the whole occurrence has ended.
@@ -131,6 +129,10 @@
 			some = true
 		}
 	}
+	if p.left > 0 && len(p.places) > 0 {
+		r.Executors = p.places
+		some = true
+	}
 	if !some {
 		return nil
 	}
@@ -177,6 +179,7 @@
 		return
 	}
 	p := &o.steps[r.GetStep()]
+	p.places = r.GetExecutors()
 	for i := range p.tasks {
 		if i/8 < len(r.GetDone()) && r.GetDone()[i/8]&(1<<(i%8)) != 0 {
 			p.tasks[i].Done = true
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,9 +14,9 @@
 // Keys of the rows; the part before the slash names the table.
 const (
 	OwnerKey       = "cell/owner"
-	FleetKey       = "cell/fleet"
 	JobPrefix      = "job/"
 	ProgressPrefix = "prog/"
+	EndPrefix      = "end/"
 )
 
 const (
@@ -33,6 +33,9 @@
 	// MaxBytes keeps the values of a commit below the store's limit of 1 MB with base64.
 	MaxBytes = 600 << 10
 
+	// MaxPageBytes keeps a row with base64 below the store's limit of 64 KB.
+	MaxPageBytes = 40 << 10
+
 	// scanLimit is the number of rows read with one call.
 	scanLimit = 500
 
