Places for a whole job; a faulty row does not stop the cell; do not hold callers in a cut domain; fault soak

Causes: places of each step needed a commit each (slow store). Callers of instances that were cut off were held for up to 2.5 s. Orders without an answer were repeated after 0.3 s although answers take milliseconds. Change: places belong to the job and are stored with its acceptance as a rule; requests are held for 1.5 s after the owner's last answer at most, then sent elsewhere, and the connection is closed; first repeat of an order after 0.1 s; takeover after 0.4 s of silence and 0.5 s of row age; a silent executor is told no count.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -22,6 +22,9 @@
 	// may be faster.
 	roomFactor = 1.15
 
+	// newPlacePenalty is the penalty of an executor that has to be stored for the job first.
+	newPlacePenalty = 0.5
+
 	// longDecide parts queues whose calls take long from those that urgent work waits for.
 	longDecide = 100 * time.Millisecond
 
@@ -53,6 +56,9 @@
 	work  *work
 	lives map[string]int64
 	asked time.Time
+	// places are the executors on which tasks of the job may be started, those of later steps
+	// included.
+	places []string
 }
 
 // NextQuestion returns the call that is needed most; with short set only calls that are
@@ -74,7 +80,7 @@
 			w.asking = true
 			if !long {
 				// The places are stored while the call is made.
-				c.propose(w, q.Executors)
+				c.propose(w.job, q.places)
 			}
 			c.Count.AdviceAsked += int64(len(q.Executors))
 			return q
@@ -108,7 +114,7 @@
 		if seen && judged == ex.life && !good {
 			continue
 		}
-		options = append(options, option{ex: ex, fits: fits, renewal: good, penalty: penalty(w, ex)})
+		options = append(options, option{ex: ex, fits: fits, renewal: good, penalty: penalty(w, ex) + c.placePenalty(w.job, ex)})
 	}
 	need := len(w.pending)
 	if room >= need || len(options) == 0 {
@@ -122,13 +128,26 @@
 		most = usualAsked
 	}
 	q := &Question{Step: w.step, work: w, lives: make(map[string]int64), asked: now}
-	for _, ex := range choose(options, room, need, c.share(w.queue.Name).value, most) {
+	share := c.share(w.queue.Name).value
+	for _, ex := range choose(options, room, need, share, most) {
 		q.Executors = append(q.Executors, ex.ID)
 		q.lives[ex.ID] = ex.life
 	}
+	for _, ex := range choose(options, room, max(need, w.job.Spec.Widest()), share, most) {
+		q.places = append(q.places, ex.ID)
+	}
 	return q
 }
 
+// placePenalty prefers executors that the store names for the job: tasks start there without a
+// commit.
+func (c *Core) placePenalty(j *job, ex *executor) float64 {
+	if j.stored[ex.ID] {
+		return 0
+	}
+	return newPlacePenalty
+}
+
 // option is an executor that has room for tasks of a step.
 type option struct {
 	ex *executor
@@ -250,7 +269,7 @@
 	for _, t := range tickets {
 		ids = append(ids, t.Executor)
 	}
-	c.propose(w, ids)
+	c.propose(w.job, ids)
 	for _, t := range tickets {
 		// The ticket counts from some time before its answer arrived.
 		w.tickets[t.Executor] = ticket{value: t.Value, until: now.Add(valid), life: q.lives[t.Executor]}
--- a/internal/cell/chaos_test.go
+++ b/internal/cell/chaos_test.go
@@ -38,6 +38,14 @@
 // playFaults plays one seed and returns the number of completed jobs.
 func playFaults(t *testing.T, seed uint64) int {
 	w := newWorld(t, seed, 6)
+	if seed%2 == 1 {
+		w.goodShare = 0.6
+		for i := range w.policy.Queues {
+			w.policy.Queues[i].Advice = &fleet.Advice{
+				Decide: time.Duration(20+200*i) * time.Millisecond, PerExecutor: time.Millisecond, Valid: 2 * time.Second,
+			}
+		}
+	}
 	o := w.takeOver()
 	w.run(time.Second)
 	jobs := 0
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -117,6 +117,9 @@
 	shown flow.State
 	// restored is set for jobs that were accepted by an earlier owner.
 	restored bool
+	// stored are the executors that the store names for the job: only there its tasks are started,
+	// so that a later owner knows where they can run.
+	stored map[string]bool
 	// storing is set once the job is part of a commit.
 	storing bool
 	// specPage and progressPage are the rows of the store that hold it.
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -23,8 +23,8 @@
 	tickInterval = 25 * time.Millisecond
 
 	// orderTimeout is how long the first copy of an order waits for its answer, which takes a
-	// few milliseconds; later copies wait up to maxOrderTimeout.
-	orderTimeout    = 300 * time.Millisecond
+	// few milliseconds; each later copy waits twice as long, up to maxOrderTimeout.
+	orderTimeout    = 100 * time.Millisecond
 	maxOrderTimeout = 1200 * time.Millisecond
 
 	// lookGrace is how long an answer may take beyond the time for which it may be held.
@@ -162,9 +162,7 @@
 			return err
 		}
 	}
-	if err := d.core.Restore(d.Ledger.Now(), rows[0], rows[1], rows[2]); err != nil {
-		return err
-	}
+	d.core.Restore(d.Ledger.Now(), rows[0], rows[1], rows[2])
 	d.Log.WithField("epoch", epoch).WithField("jobs", len(d.core.jobs)).WithField("open_jobs", d.core.openJobs()).
 		WithField("rows", len(rows[0])+len(rows[1])+len(rows[2])).
 		WithField("unclaimed_executors", len(d.core.locked)).
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -186,7 +186,11 @@
 	if ex == nil {
 		return fleet.Executor{}, fleet.Look{}, false
 	}
-	l := fleet.Look{Epoch: c.Epoch, Forget: ex.forget}
+	l := fleet.Look{Epoch: c.Epoch}
+	if ex.misses == 0 {
+		// An executor that was silent may have started again under its id and count anew.
+		l.Forget = ex.forget
+	}
 	if ex.claimed && ex.misses == 0 {
 		l.Wait = holdWait
 		if ex.shared() {
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -33,7 +33,7 @@
 	drops []*page
 	// serial numbers the rows of this epoch.
 	serial int
-	// places is set when executors of steps have to be stored before tasks start there.
+	// places is set when executors of jobs have to be stored before tasks start there.
 	places bool
 	ends   bool
 	endsAt time.Time
@@ -66,7 +66,7 @@
 	dropped []*page
 	forget  map[string]int64
 	lives   map[string]int64
-	// places are the executors of steps that are stored with the batch.
+	// places are the executors of jobs that are stored with the batch.
 	places []places
 }
 
@@ -79,9 +79,9 @@
 	return ids
 }
 
-// places are executors on which tasks of a step may be started once they are stored.
+// places are executors on which tasks of a job may be started once they are stored.
 type places struct {
-	work      *work
+	job       *job
 	executors []string
 }
 
@@ -177,19 +177,17 @@
 	return len(b.Puts) + len(b.Deletes)
 }
 
-// addPlaces notes the executors of the job's steps that are stored with the batch.
+// addPlaces notes the executors of the job that are stored with the batch.
 func (b *Batch) addPlaces(j *job) {
-	for _, w := range j.works {
-		p := places{work: w}
-		for _, id := range j.Places(w.step) {
-			if !w.stored[id] {
-				p.executors = append(p.executors, id)
-			}
-		}
-		if len(p.executors) > 0 {
-			b.places = append(b.places, p)
+	p := places{job: j}
+	for _, id := range j.Places() {
+		if !j.stored[id] {
+			p.executors = append(p.executors, id)
 		}
 	}
+	if len(p.executors) > 0 {
+		b.places = append(b.places, p)
+	}
 }
 
 // Refused takes a batch back of which nothing was stored: its new jobs are rejected, the rest is
@@ -232,9 +230,11 @@
 	}
 	for _, p := range b.places {
 		for _, id := range p.executors {
-			p.work.stored[id] = true
+			p.job.stored[id] = true
+		}
+		for _, w := range p.job.works {
+			w.untried = true
 		}
-		p.work.untried = true
 	}
 	for _, j := range b.created {
 		j.accepted = true
--- a/internal/cell/lane.go
+++ b/internal/cell/lane.go
@@ -8,6 +8,9 @@
 	"github.com/daisyrack/daisyrack/internal/fleet"
 )
 
+// maxDoublings of orderTimeout reach maxOrderTimeout.
+const maxDoublings = 4
+
 // send queues an order for its executor.
 func (d *Driver) send(ctx context.Context, o Order) {
 	l := d.lanes[o.Executor.ID]
@@ -43,7 +46,7 @@
 }
 
 func (d *Driver) carryOut(ctx context.Context, o Order) fleet.Answer {
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout<<min(o.Try, 2), maxOrderTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout<<min(o.Try, maxDoublings), maxOrderTimeout))
 	defer cancel()
 	switch {
 	case o.Start != nil:
--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -46,3 +46,20 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Assert(t, stops[0].Stop != nil && stops[0].Stop.Number == number)
 }
+
+// An executor that was silent may have started again under its id: the count of ends of the former
+// life must not acknowledge those of the new one.
+func TestSilentExecutorIsToldNoCountOfEnds(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "done", oneStep(testQueue, 3, 200*time.Millisecond))
+	w.run(2 * time.Second)
+	_, look, _ := o.core.NextLook("x0")
+	assert.Equal(t, look.Forget, int64(3))
+	w.execs["x0"].down = true
+	w.run(2 * time.Second)
+	_, look, _ = o.core.NextLook("x0")
+	assert.Equal(t, look.Forget, int64(0))
+}
--- a/internal/cell/page_test.go
+++ b/internal/cell/page_test.go
@@ -56,3 +56,19 @@
 	assert.Equal(t, len(w.scan(ledger.ProgressPrefix)), 0)
 	assert.Assert(t, len(w.scan(ledger.EndPrefix)) < jobs)
 }
+
+// A row that can not be read must not keep the cell from its other jobs.
+func TestFaultyRowDoesNotStopTheCell(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "whole", oneStep(testQueue, 1, time.Second))
+	w.run(100 * time.Millisecond)
+	w.rows[ledger.ProgressPrefix+"0000000009.0000000001"] = []byte("no page")
+	w.rows[ledger.JobPrefix+"0000000009.0000000001"] = []byte("no page")
+	o = w.takeOver()
+	w.run(10 * time.Second)
+	assert.Equal(t, o.core.State("whole").State, flow.Completed)
+	assert.Assert(t, w.rows[ledger.JobPrefix+"0000000009.0000000001"] != nil)
+}
--- a/internal/cell/places.go
+++ b/internal/cell/places.go
@@ -14,8 +14,7 @@
 	if !w.job.restored {
 		return
 	}
-	for _, id := range w.job.Places(w.step) {
-		w.stored[id] = true
+	for _, id := range w.job.Places() {
 		if c.locked == nil {
 			continue // all leases of earlier owners have ended
 		}
@@ -90,12 +89,13 @@
 	return ids
 }
 
-// propose has executors stored as places of a step, so that tasks can be started there.
-func (c *Core) propose(w *work, ids []string) {
-	if !w.job.AddPlaces(w.step, ids) {
+// propose has executors stored as places of a job, so that its tasks can be started there.
+func (c *Core) propose(j *job, ids []string) {
+	// A rejected job is no longer known while its call of the policy service is in progress.
+	if c.jobs[j.ID] != j || j.State.Final() || !j.AddPlaces(ids) {
 		return
 	}
-	c.keep.changed(w.job)
+	c.keep.changed(j)
 	c.keep.places = true
 }
 
@@ -106,7 +106,7 @@
 	}
 	w.askAfter = now.Add(askPause)
 	known := make(map[string]bool)
-	for _, id := range w.job.Places(w.step) {
+	for _, id := range w.job.Places() {
 		known[id] = true
 	}
 	room := 0
@@ -131,5 +131,5 @@
 	for _, ex := range choose(options, room, len(w.pending), 1, maxAsked) {
 		ids = append(ids, ex.ID)
 	}
-	c.propose(w, ids)
+	c.propose(w.job, ids)
 }
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/daisyrack/daisyrack/internal/flow"
@@ -15,25 +14,17 @@
 )
 
 // Restore takes over the jobs of earlier owners from the rows of the store: what callers handed in,
-// progress and final states, each in the order in which they were written.
-func (c *Core) Restore(now time.Time, jobRows, progressRows, endRows []table.Row) error {
-	specs, err := readPages(jobRows)
-	if err != nil {
-		return err
-	}
-	progress, err := readPages(progressRows)
-	if err != nil {
-		return err
-	}
-	ends, err := readPages(endRows)
-	if err != nil {
-		return err
-	}
+// progress and final states, each in the order in which they were written. What can not be read is
+// left out and kept in the store, so that one faulty row does not stop the cell.
+func (c *Core) Restore(now time.Time, jobRows, progressRows, endRows []table.Row) {
+	specs, progress, ends := c.readPages(jobRows), c.readPages(progressRows), c.readPages(endRows)
 	newest := newestOf(append(progress, ends...))
 	texts := newestOf(specs)
 	for id, e := range newest {
 		if err := c.restoreJob(now, id, texts[id].entry.GetSpec(), e.entry.GetProgress()); err != nil {
-			return err
+			c.Log.WithField("job", id).WithError(err).Error("job can not be restored and is left out")
+			delete(texts, id)
+			continue
 		}
 		c.enter(e.page, c.jobs[id])
 	}
@@ -41,7 +32,8 @@
 		if c.jobs[id] == nil {
 			kept := &wire.ProgressRecord{Queue: e.entry.GetSpec().GetQueue(), State: flow.Pending.String()}
 			if err := c.restoreJob(now, id, e.entry.GetSpec(), kept); err != nil {
-				return err
+				c.Log.WithField("job", id).WithError(err).Error("job can not be restored and is left out")
+				continue
 			}
 		}
 		if !c.jobs[id].State.Final() {
@@ -49,18 +41,25 @@
 		}
 	}
 	c.countPages(slices.Concat(specs, progress, ends))
-	return nil
 }
 
 // countPages notes which rows hold entries of which jobs, and drops those without a needed one.
 func (c *Core) countPages(entries []stored) {
 	for _, e := range entries {
 		j := c.jobs[e.entry.GetJob()]
+		if j == nil {
+			e.page.live++ // left out: the row stays
+			continue
+		}
 		j.pages++
 		e.page.jobs = append(e.page.jobs, j)
-		if len(e.page.jobs) == 1 && e.page.live == 0 {
+	}
+	counted := make(map[*page]bool)
+	for _, e := range entries {
+		if e.page.live == 0 && !counted[e.page] {
 			c.keep.drops = append(c.keep.drops, e.page)
 		}
+		counted[e.page] = true
 	}
 }
 
@@ -70,19 +69,20 @@
 	page  *page
 }
 
-func readPages(rows []table.Row) ([]stored, error) {
+func (c *Core) readPages(rows []table.Row) []stored {
 	var out []stored
 	for _, row := range rows {
 		var r wire.PageRecord
 		if err := proto.Unmarshal(row.Value, &r); err != nil {
-			return nil, errors.Wrapf(err, "cell: unable to decode row %s", row.Key)
+			c.Log.WithField("row", row.Key).WithError(err).Error("row can not be decoded and is left out")
+			continue
 		}
 		p := &page{key: row.Key, spec: strings.HasPrefix(row.Key, ledger.JobPrefix)}
 		for _, e := range r.GetEntries() {
 			out = append(out, stored{e, p})
 		}
 	}
-	return out, nil
+	return out
 }
 
 // newestOf returns the last entry of each job.
@@ -122,6 +122,9 @@
 		return nil
 	}
 	j.restored, j.storing = true, true
+	for _, id := range j.Places() {
+		j.stored[id] = true
+	}
 	c.addSteps(now, j, j.Resume(now))
 	if _, more := j.NextDue(); more {
 		c.timed[id] = j
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -82,7 +82,7 @@
 func (c *Core) newJob(fj *flow.Job, q *fleet.Queue) *job {
 	j := &job{
 		Job: fj, works: make(map[fleet.Step]*work), runs: make(map[fleet.Task][]*run),
-		nextRun: make(map[fleet.Task]int64),
+		nextRun: make(map[fleet.Task]int64), stored: make(map[string]bool),
 	}
 	if q != nil {
 		j.priority = q.Priority
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -54,9 +54,6 @@
 	asking     bool
 	askAfter   time.Time
 	onExecutor map[string]int
-	// stored are the executors that the store names for the step: only there tasks are started,
-	// so that a later owner knows where they can run.
-	stored map[string]bool
 	// unclaimed are the executors on which an earlier owner may have started tasks of the step and
 	// that have not been claimed; until then no task is started elsewhere.
 	unclaimed map[string]bool
@@ -111,7 +108,7 @@
 		job: j, step: s, spec: &j.Spec.Steps[s.Step], queue: c.policy.Queue(j.Spec.Queue),
 		tickets: make(map[string]ticket), judged: make(map[string]int64),
 		onExecutor: make(map[string]int), avoid: make(map[string]int),
-		stored: make(map[string]bool), unclaimed: make(map[string]bool),
+		unclaimed: make(map[string]bool),
 	}
 	if w.queue == nil {
 		w.queue = &fleet.Queue{Name: j.Spec.Queue}
@@ -346,14 +343,14 @@
 	var out []place.Candidate
 	if w.queue.Advice == nil {
 		for _, ex := range c.ordered {
-			if w.stored[ex.ID] && c.mayRun(now, w, ex) {
+			if w.job.stored[ex.ID] && c.mayRun(now, w, ex) {
 				out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
 			}
 		}
 		return out
 	}
 	for id := range w.tickets {
-		if ex := c.execs[id]; ex != nil && w.stored[id] && c.allowed(now, w, ex) && c.mayRun(now, w, ex) {
+		if ex := c.execs[id]; ex != nil && w.job.stored[id] && c.allowed(now, w, ex) && c.mayRun(now, w, ex) {
 			out = append(out, place.Candidate{Worker: id, Penalty: penalty(w, ex)})
 		}
 	}
@@ -364,7 +361,7 @@
 func (c *Core) candidatesAmong(now time.Time, w *work, among []*executor) []place.Candidate {
 	var out []place.Candidate
 	for _, ex := range among {
-		if w.stored[ex.ID] && (w.queue.Advice == nil || c.allowed(now, w, ex)) && c.mayRun(now, w, ex) {
+		if w.job.stored[ex.ID] && (w.queue.Advice == nil || c.allowed(now, w, ex)) && c.mayRun(now, w, ex) {
 			out = append(out, place.Candidate{Worker: ex.ID, Penalty: penalty(w, ex)})
 		}
 	}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -59,6 +59,8 @@
 	open map[int]*occurrence
 	// next is the first occurrence that has not been opened.
 	next int
+	// places are the executors on which tasks may have been started.
+	places []string
 	// ended is the number of occurrences that have ended, all of them below those still open.
 	ended int
 }
@@ -72,8 +74,6 @@
 type progress struct {
 	tasks []Task
 	left  int
-	// places are the executors on which tasks of the step may have been started.
-	places []string
 }
 
 // Task is the state of one task.
@@ -191,31 +191,22 @@
 	return undone
 }
 
-// AddPlaces notes executors on which tasks of an open step may be started from now on, and
-// reports whether any of them is new. A later owner looks for runs of the step only there.
-func (j *Job) AddPlaces(s fleet.Step, executors []string) bool {
-	o := j.open[s.Occurrence]
-	if o == nil {
-		return false
-	}
-	p := &o.steps[s.Step]
+// AddPlaces notes executors on which tasks of the job may be started from now on, and reports
+// whether any of them is new. A later owner looks for runs of the job only there.
+func (j *Job) AddPlaces(executors []string) bool {
 	added := false
 	for _, id := range executors {
-		if !slices.Contains(p.places, id) {
-			p.places = append(p.places, id)
+		if !slices.Contains(j.places, id) {
+			j.places = append(j.places, id)
 			added = true
 		}
 	}
 	return added
 }
 
-// Places returns the executors on which tasks of an open step may have been started.
-func (j *Job) Places(s fleet.Step) []string {
-	o := j.open[s.Occurrence]
-	if o == nil {
-		return nil
-	}
-	return o.steps[s.Step].places
+// Places returns the executors on which tasks of the job may have been started.
+func (j *Job) Places() []string {
+	return j.places
 }
 
 // Effect is what an end changed.
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -82,6 +82,8 @@
 	r := &wire.ProgressRecord{Queue: j.Spec.Queue, State: j.keptState().String(), EndedOccurrences: int64(j.ended)}
 	if j.State.Final() {
 		r.EndedMs = j.Ended.UnixMilli()
+	} else {
+		r.Executors = j.places
 	}
 	for k, o := range j.open {
 		for i := range o.steps {
@@ -129,10 +131,6 @@
 			some = true
 		}
 	}
-	if p.left > 0 && len(p.places) > 0 {
-		r.Executors = p.places
-		some = true
-	}
 	if !some {
 		return nil
 	}
@@ -157,6 +155,7 @@
 	if spec == nil {
 		return nil, errors.Newf("flow: job %s has progress but no text", id)
 	}
+	j.places = kept.GetExecutors()
 	for _, s := range kept.GetSteps() {
 		j.restoreStep(s)
 	}
@@ -179,7 +178,6 @@
 		return
 	}
 	p := &o.steps[r.GetStep()]
-	p.places = r.GetExecutors()
 	for i := range p.tasks {
 		if i/8 < len(r.GetDone()) && r.GetDone()[i/8]&(1<<(i%8)) != 0 {
 			p.tasks[i].Done = true
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -124,3 +124,12 @@
 	}
 	return longest
 }
+
+// Widest returns the number of tasks of the widest step.
+func (s *Spec) Widest() int {
+	widest := 0
+	for i := range s.Steps {
+		widest = max(widest, s.Steps[i].Count)
+	}
+	return widest
+}
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -26,10 +26,13 @@
 )
 
 const (
-	// ownerWait is how long a request waits for an owner before it is rejected; a takeover takes
-	// about a second.
+	// ownerWait is how long the owner may be silent before requests are no longer held for it or
+	// its successor; a takeover takes about a second.
 	ownerWait = 1500 * time.Millisecond
 
+	// callSilence is how long the owner may be silent before calls in progress are given up.
+	callSilence = time.Second
+
 	// answerMargin is kept of a caller's deadline for the way back.
 	answerMargin = 100 * time.Millisecond
 
@@ -99,15 +102,15 @@
 		default:
 			return reply
 		}
-		if !sent && time.Since(begun) > ownerWait {
-			return h.reject(call, begun)
-		}
-		select {
-		case <-ctx.Done():
+		silence, _ := h.silence()
+		if ctx.Err() != nil || silence > ownerWait || !sent && time.Since(begun) > ownerWait {
 			if !sent {
 				return h.reject(call, begun)
 			}
 			return last
+		}
+		select {
+		case <-ctx.Done():
 		case <-changed:
 		case <-time.After(retryPause):
 		}
@@ -131,23 +134,23 @@
 // reject answers a request that never left this instance.
 func (h *Host) reject(call *wire.JobCall, begun time.Time) cell.Reply {
 	owner, heard, _ := h.known()
+	silence, isolated := h.silence()
+	wait := rejectWait
+	if isolated && silence > ownerWait {
+		wait = 0 // other instances are likely to serve the caller at once
+	}
 	h.Log.WithField("job", call.GetJob()).WithField("verb", call.GetVerb()).WithField("owner", owner).
 		WithField("owner_heard_ms", time.Since(heard).Milliseconds()).
-		WithField("waited_ms", time.Since(begun).Milliseconds()).Info("request rejected: no owner within reach")
-	return cell.Reply{Outcome: cell.Rejected, Reason: "no owner within reach", RetryAfter: rejectWait}
+		WithField("waited_ms", time.Since(begun).Milliseconds()).WithField("isolated", isolated).
+		Info("request rejected: no owner within reach")
+	return cell.Reply{Outcome: cell.Rejected, Reason: "no owner within reach", RetryAfter: wait}
 }
 
 // tryOwner hands a call to another instance once, until that one no longer is the owner.
 func (h *Host) tryOwner(ctx context.Context, owner string, changed <-chan struct{}, call *wire.JobCall) cell.Reply {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	go h.cancelInSilence(ctx, cancel, changed)
 	res, outcome, err := h.client.Call(ctx, owner, &wire.Request{Body: &wire.Request_JobCall{JobCall: call}})
 	r := res.GetJobReply()
 	switch {
@@ -167,6 +170,28 @@
 	}
 }
 
+// cancelInSilence ends a call to the owner when another instance owns the cell or the owner has
+// been silent for long.
+func (h *Host) cancelInSilence(ctx context.Context, cancel context.CancelFunc, changed <-chan struct{}) {
+	for {
+		silence, _ := h.silence()
+		if silence >= callSilence {
+			cancel()
+			return
+		}
+		t := time.NewTimer(callSilence - silence)
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		case <-t.C:
+			continue
+		}
+		t.Stop()
+		return
+	}
+}
+
 // answerJob carries out a call that another instance took from a caller.
 func (h *Host) answerJob(ctx context.Context, call *wire.JobCall) *wire.JobReply {
 	r := cell.Reply{Outcome: cell.NotOwner}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -207,6 +207,7 @@
 		h.hear()
 	}
 	h.mu.Lock()
+	h.answered = time.Now()
 	h.others = r.GetFollowers()
 	h.counts = make(map[string]int64, len(r.GetCounts()))
 	for _, n := range r.GetCounts() {
@@ -229,6 +230,7 @@
 func (h *Host) contend(ctx context.Context, former string, gone bool) bool {
 	begun := time.Now()
 	row, err := h.readOwner(ctx)
+	h.setIsolated(err != nil)
 	stagger := max(rankStagger, staggerReads*time.Since(begun))
 	if err != nil {
 		h.Log.WithError(err).Debug("owner's row not read")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,7 +21,7 @@
 	followHold = 200 * time.Millisecond
 
 	// ownerSilence is how long the owner may be silent before a follower reads its row.
-	ownerSilence = 500 * time.Millisecond
+	ownerSilence = 400 * time.Millisecond
 
 	// readySilence is how long the owner may be out of reach before callers are sent elsewhere.
 	readySilence = time.Second
@@ -85,13 +85,17 @@
 	told string
 
 	mu sync.Mutex
-	// owner is the address of the owner, as far as it is known, and heard when it last answered.
-	owner   string
-	epoch   int64
-	heard   time.Time
-	changed chan struct{}
-	others  []string
-	counts  map[string]int64
+	// owner is the address of the owner, as far as it is known, and heard when it last answered and
+	// reached the store; answered also counts answers of an owner without the store.
+	owner    string
+	epoch    int64
+	heard    time.Time
+	answered time.Time
+	// isolated is set while this instance reaches neither the owner nor the store.
+	isolated bool
+	changed  chan struct{}
+	others   []string
+	counts   map[string]int64
 	// followers are those that have called this instance while it owned the cell.
 	followers map[string]*follower
 	// relay is the follower that last reached the store for this owner.
@@ -118,6 +122,7 @@
 	h.followers = make(map[string]*follower)
 	h.counts = make(map[string]int64)
 	h.client.InFlight = callsInFlight
+	h.answered = time.Now()
 }
 
 // Serve answers the calls of other instances until ctx ends.
@@ -157,6 +162,9 @@
 	}
 	h.Log.WithField("owner", address).WithField("epoch", epoch).WithField("former", h.owner).Info("owner of the cell has changed")
 	h.owner, h.epoch = address, epoch
+	if address != "" {
+		h.answered = time.Now()
+	}
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -165,9 +173,28 @@
 func (h *Host) hear() {
 	h.mu.Lock()
 	h.heard = time.Now()
+	h.answered = h.heard
+	h.isolated = false
 	h.mu.Unlock()
 }
 
+// silence returns how long the owner has not answered, and whether this instance is cut off from
+// the store as well.
+func (h *Host) silence() (d time.Duration, isolated bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.term.Load() != nil {
+		return 0, false
+	}
+	return time.Since(h.answered), h.isolated
+}
+
+func (h *Host) setIsolated(isolated bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isolated = isolated
+}
+
 func (h *Host) known() (owner string, heard time.Time, changed <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,11 +21,11 @@
 
 const (
 	// RenewInterval is the longest time between two commits of an owner, well below StaleAfter.
-	RenewInterval = 250 * time.Millisecond
+	RenewInterval = 150 * time.Millisecond
 
 	// StaleAfter is the age of the owner's row, by the store's clock, at which another
 	// instance takes the cell over: two renewals and a slow answer.
-	StaleAfter = 700 * time.Millisecond
+	StaleAfter = 500 * time.Millisecond
 
 	// MaxRows is how many puts and deletes one commit may hold besides the owner's row.
 	MaxRows = 98
