Tell completed jobs while the store is late; restart tasks that stand still; reject after the owner has gone

Causes: jobs that ended during an outage were called running until the store was back, although every later owner reads their ends from the executors. Change: Core.Done; a run without progress for 0.8 s is stopped and started elsewhere; no call to an owner that has been silent for 1 s; readiness is withdrawn after 0.6 s; Retry-After 0 only once the balancer has chosen others.

--- a/internal/cell/control.go
+++ b/internal/cell/control.go
@@ -26,6 +26,15 @@
 	lagLeast  = 500 * time.Millisecond
 	lagFactor = 1.3
 
+	// stallLeast is how long a run may stand still before it is started elsewhere: a lost answer
+	// hides its progress for half as long. stallPercent, in percent of the estimate, is the same for
+	// long runs.
+	stallLeast   = 800 * time.Millisecond
+	stallPercent = 8
+
+	// stallPause keeps new tasks away from an executor on which a run stands still.
+	stallPause = 3 * time.Second
+
 	// slowWeight is the weight of one task in the learned slowness of an executor.
 	slowWeight = 0.15
 )
@@ -110,6 +119,28 @@
 	return left > float64(spec.Estimate)
 }
 
+// stalls reports whether a run makes no progress at all; even on a slow executor some percent are
+// gained within stallLeast.
+func (r *run) stalls(now time.Time) bool {
+	spec := r.spec()
+	if spec.Lasts || spec.Gang || spec.Filler || r.stopping || r.pace < fullPace || r.percent >= 100 {
+		return false
+	}
+	least := max(stallLeast, time.Duration(stallPercent*float64(spec.Estimate)/100))
+	return now.Sub(r.moved) > least
+}
+
+// restart stops a run that stands still, so that its task starts on another executor.
+func (c *Core) restart(now time.Time, r *run) {
+	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
+		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("percent", r.percent).
+		WithField("still_ms", now.Sub(r.moved).Milliseconds()).Info("run stands still: its task starts elsewhere")
+	c.Count.Stalls++
+	r.work.avoid[r.ex.ID]++
+	r.ex.badUntil = now.Add(stallPause)
+	c.stop(now, r, "run stands still")
+}
+
 // learn updates what is known of an executor by the end of a run.
 func (c *Core) learn(now time.Time, r *run, kind fleet.EndKind) {
 	switch kind {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -26,6 +26,10 @@
 	// two commits in a slow store take 2 s.
 	maxStartLimit = 2500 * time.Millisecond
 
+	// lateCommit is the age of the last proven commit from which commits are late: they follow one
+	// another within RenewInterval and take 12 ms.
+	lateCommit = 300 * time.Millisecond
+
 	// rejectPause is what callers are told to wait while the store can not be reached; outages
 	// of seconds are the usual ones.
 	rejectPause = 2 * time.Second
@@ -98,7 +102,7 @@
 	Starts, Stops, Ends, Lost, Adopted, Resent       int64
 	AdviceAsked, AdviceGood                          int64
 	Looks, Silences                                  int64
-	Paced, Copies                                    int64
+	Paced, Copies, Stalls                            int64
 }
 
 // Order is what the core wants an executor to be told.
@@ -126,6 +130,8 @@
 	// stored are the executors that the store names for the job: only there its tasks are started,
 	// so that a later owner knows where they can run.
 	stored map[string]bool
+	// unstored are, by executor, the newest ends of its tasks that the executor still repeats.
+	unstored map[string]endMark
 	// storing is set once the job is part of a commit.
 	storing bool
 	// specPage and progressPage are the rows of the store that hold it.
@@ -148,6 +154,11 @@
 	cancels []func(Reply)
 }
 
+// endMark is an end in the list of one life of an executor.
+type endMark struct {
+	life, sequence int64
+}
+
 // run is one start of a task.
 type run struct {
 	job    *job
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -167,6 +167,7 @@
 	if j == nil {
 		return
 	}
+	j.unstored[ex.ID] = endMark{ex.life, e.Sequence}
 	if e.Kind == fleet.Failed {
 		j.failed++
 		c.Log.WithField("job", j.ID).WithField("step", e.Task.Step).WithField("index", e.Task.Index).
@@ -249,8 +250,11 @@
 			r.moved = now
 		}
 		r.percent, r.gauge = l.Percent, l.Gauge
-		if c.lags(now, r) {
+		switch {
+		case c.lags(now, r):
 			c.copyRun(r)
+		case r.stalls(now):
+			c.restart(now, r)
 		}
 		return
 	}
--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/flow"
 )
 
 // A repeated start that is no longer wanted is not sent, but the run that its first copy began
@@ -63,3 +64,56 @@
 	_, look, _ = o.core.NextLook("x0")
 	assert.Equal(t, look.Forget, int64(0))
 }
+
+// Tasks that stand still on an executor that answers are started on another one.
+func TestTasksThatStandStillStartElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.failShare = 0
+	w.execs["x0"].hangs = true
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "job", oneStep(testQueue, 6, 500*time.Millisecond))
+	w.run(8 * time.Second)
+	w.expectClean()
+	assert.Equal(t, o.core.State("job").State, flow.Completed)
+	assert.Assert(t, o.core.Count.Stalls > 0)
+}
+
+// While the store is away a job is called completed once all of its tasks have ended, as long as
+// the executors that hold the ends answer: a later owner reads them there.
+func TestCompletedJobIsToldWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "job", oneStep(testQueue, 4, 500*time.Millisecond))
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	assert.Assert(t, !o.core.Done(w.now, "job"))
+	w.run(2 * time.Second)
+	assert.Equal(t, o.core.State("job").State, flow.Running)
+	assert.Assert(t, o.core.Done(w.now, "job"))
+	w.storeDown = false
+	next := w.takeOver()
+	w.run(time.Second)
+	assert.Equal(t, next.core.State("job").State, flow.Completed)
+	for task, spans := range w.history {
+		assert.Equal(t, len(spans), 1, "%v", task)
+	}
+}
+
+// An end that may be lost with its executor is not told before it is stored.
+func TestEndOfASilentExecutorIsNotToldUnstored(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	w.submit(o, "job", oneStep(testQueue, 1, 500*time.Millisecond))
+	w.run(200 * time.Millisecond)
+	w.storeDown = true
+	w.run(2 * time.Second)
+	assert.Assert(t, o.core.Done(w.now, "job"))
+	w.execs["x0"].down = true
+	w.run(3 * time.Second)
+	assert.Assert(t, !o.core.Done(w.now, "job"))
+}
--- a/internal/cell/standin_test.go
+++ b/internal/cell/standin_test.go
@@ -55,7 +55,7 @@
 		fails: x.failAll || w.rng.Float64() < w.failShare, need: spec.Counted(), lasting: spec.Lasts,
 	}
 	x.runs[key] = r
-	if !spec.Lasts {
+	if !spec.Lasts && !x.hangs {
 		life := x.life
 		w.after(work, func() {
 			if x.life == life && x.runs[key] == r {
@@ -144,6 +144,10 @@
 	ans := fleet.Answer{Clock: x.clock(w), HasClock: true, Life: x.life, Ends: slices.Clone(x.ends)}
 	for _, key := range x.keys() {
 		r := x.runs[key].Run
+		if x.hangs {
+			ans.Runs = append(ans.Runs, r)
+			continue
+		}
 		r.Percent = min(100, 100*float64(w.now.Sub(x.runs[key].begun))/float64(max(x.runs[key].work, 1)))
 		ans.Runs = append(ans.Runs, r)
 	}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -85,6 +85,8 @@
 	down    bool
 	drift   float64
 	failAll bool
+	// hangs keeps all that is started from making progress.
+	hangs bool
 	// waiting are the looks that are held until an end.
 	waiting []func()
 }
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -28,7 +28,7 @@
 const (
 	// ownerWait is how long the owner may be silent before requests are no longer held for it or
 	// its successor; a takeover takes about a second.
-	ownerWait = 1500 * time.Millisecond
+	ownerWait = 1100 * time.Millisecond
 
 	// callSilence is how long the owner may be silent before calls in progress are given up.
 	callSilence = time.Second
@@ -42,6 +42,10 @@
 	// tryTimeout bounds one hand-over to the owner; two commits in a slow store take 2 s.
 	tryTimeout = 2500 * time.Millisecond
 
+	// avoidedAfter is how long an instance must have been cut off for the balancer to have chosen
+	// others: readiness is withdrawn, and two probes, one a second, have failed.
+	avoidedAfter = readySilence + 2200*time.Millisecond
+
 	// rejectWait is what callers are told to wait when there is no owner.
 	rejectWait = time.Second
 )
@@ -136,8 +140,8 @@
 	owner, heard, _ := h.known()
 	silence, isolated := h.silence()
 	wait := rejectWait
-	if isolated && silence > ownerWait {
-		wait = 0 // other instances are likely to serve the caller at once
+	if isolated && silence > avoidedAfter {
+		wait = 0 // a new connection leads to another instance
 	}
 	h.Log.WithField("job", call.GetJob()).WithField("verb", call.GetVerb()).WithField("owner", owner).
 		WithField("owner_heard_ms", time.Since(heard).Milliseconds()).
@@ -148,6 +152,9 @@
 
 // tryOwner hands a call to another instance once, until that one no longer is the owner.
 func (h *Host) tryOwner(ctx context.Context, owner string, changed <-chan struct{}, call *wire.JobCall) cell.Reply {
+	if silence, _ := h.silence(); silence >= callSilence {
+		return cell.Reply{Outcome: cell.NotOwner}
+	}
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	go h.cancelInSilence(ctx, cancel, changed)
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -39,7 +39,7 @@
 
 	// holderTimeout bounds the question whether the holder of an old row still owns the cell; an
 	// answer takes some milliseconds.
-	holderTimeout = 150 * time.Millisecond
+	holderTimeout = 80 * time.Millisecond
 
 	// askTimeout bounds a question for the owner to a seed.
 	askTimeout = 300 * time.Millisecond
@@ -230,7 +230,8 @@
 func (h *Host) contend(ctx context.Context, former string, gone bool) bool {
 	begun := time.Now()
 	row, err := h.readOwner(ctx)
-	h.setIsolated(err != nil)
+	// An owner that is gone says nothing of this instance's links.
+	h.setIsolated(err != nil && former != "" && !gone)
 	stagger := max(rankStagger, staggerReads*time.Since(begun))
 	if err != nil {
 		h.Log.WithError(err).Debug("owner's row not read")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,7 +24,7 @@
 	ownerSilence = 400 * time.Millisecond
 
 	// readySilence is how long the owner may be out of reach before callers are sent elsewhere.
-	readySilence = time.Second
+	readySilence = 600 * time.Millisecond
 
 	// rankStagger parts the tries of candidates, so that usually only one takes the cell over.
 	rankStagger = 30 * time.Millisecond
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -67,14 +67,15 @@
 	follows int
 	// silent keeps all calls without an answer.
 	silent bool
+	reply  *wire.FollowReply
 }
 
 func startPeer(t *testing.T, reply *wire.FollowReply) *peerOf {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := &peerOf{address: l.Addr().String()}
-	s := peer.Server{Handle: func(ctx context.Context, _ *wire.Request) *wire.Response {
+	p := &peerOf{address: l.Addr().String(), reply: reply}
+	s := peer.Server{Handle: func(context.Context, *wire.Request) *wire.Response {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.silent {
@@ -83,7 +84,7 @@
 			p.mu.Lock()
 		}
 		p.follows++
-		return &wire.Response{Body: &wire.Response_Follow{Follow: reply}}
+		return &wire.Response{Body: &wire.Response_Follow{Follow: p.reply}}
 	}}
 	go func() { _ = s.Serve(t.Context(), l) }()
 	return p
@@ -194,3 +195,30 @@
 		return second.Outcome == cell.Rejected && second.RetryAfter == 0
 	})
 }
+
+// Requests that come after the owner has gone are not handed to it, so that callers are told that
+// nothing was done.
+func TestRequestsAfterTheOwnerHasGoneAreRejected(t *testing.T) {
+	owner := startPeer(t, &wire.FollowReply{Epoch: 3, ConfigVersion: 1})
+	r := &row{owner: &wire.OwnerRecord{Holder: "a", Address: owner.address, Epoch: 3}}
+	h := startHost(t, r, 100)
+	waitFor(t, "the owner to be followed", h.Ready)
+	r.mu.Lock()
+	r.away = true
+	r.mu.Unlock()
+	owner.mu.Lock()
+	owner.reply = &wire.FollowReply{Resigned: true}
+	owner.mu.Unlock()
+	waitFor(t, "the owner to be unheard of", func() bool { return !h.Ready() })
+	owner.mu.Lock()
+	owner.silent = true
+	owner.mu.Unlock()
+	waitFor(t, "the end of calls to the former owner", func() bool {
+		return h.Submit(t.Context(), "j1", flow.Spec{Queue: "q"}).Outcome == cell.Rejected
+	})
+	for range 3 {
+		reply := h.Submit(t.Context(), "j2", flow.Spec{Queue: "q"})
+		assert.Equal(t, reply.Outcome, cell.Rejected)
+		assert.Assert(t, reply.RetryAfter > 0)
+	}
+}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -56,6 +56,7 @@
 		{"looks_total", n.Looks},
 		{"looks_silent_total", n.Silences},
 		{"fillers_paced_total", n.Paced},
+		{"runs_stalled_total", n.Stalls},
 		{"runs_copied_total", n.Copies},
 	}
 	for _, c := range counters {
