Go on starting tasks while the store is away; do not use a new life before its entry

Cause: tasks were started only for 0.5 s after the last proven commit (2.5 s in a slow store), so that second steps and waiting work stood still through each outage while the fleet ran empty. The limit guards against one case: an executor that starts again under its id and knows no epoch. Change: the limit is 4.5 s, below the lease; beyond 0.5 s only executors whose present life answered before the last proof and ever since get tasks, and starts without an answer are not repeated before the next proof. Others are covered as before: a successor raises the epoch where it reaches executors and waits for the leases where it does not. An executor that started again gets no tasks before its entry names that life, since it may have less room than the former one.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -22,9 +22,9 @@
 	// store answers within it.
 	storeSilence = 2 * time.Second
 
-	// maxStartLimit bounds the time after the last proof of ownership in which tasks are started;
-	// two commits in a slow store take 2 s.
-	maxStartLimit = 2500 * time.Millisecond
+	// startLimit bounds the time after the last proof of ownership in which tasks are started. It is
+	// below the lease, so that a task has time to run before the store is back.
+	startLimit = 4500 * time.Millisecond
 
 	// lateCommit is the age of the last proven commit from which commits are late: they follow one
 	// another within RenewInterval and take 12 ms.
@@ -76,8 +76,6 @@
 	proven time.Time
 	// provenWall is the same by the time of day, which also counts while the machine is suspended.
 	provenWall time.Time
-	// commitTook is the time that the last commit took.
-	commitTook time.Duration
 
 	// lossy is set while executors that are alive leave calls without an answer.
 	lossy bool
@@ -88,7 +86,9 @@
 	// refuses is set while the store refuses commits.
 	refuses bool
 
-	orders  []Order
+	orders []Order
+	// held are repeats of starts that wait for the next proof of ownership.
+	held    []Order
 	keep    keeping
 	waiting map[string]int64
 	shares  map[string]*goodShare
@@ -279,27 +279,29 @@
 	if !sent.After(c.proven) {
 		return
 	}
-	if sent.Sub(c.proven) > c.startLimit() {
+	if sent.Sub(c.proven) > ledger.StaleAfter {
 		for _, w := range c.works {
 			w.untried = true
 		}
 	}
 	c.proven = sent
 	c.provenWall = sent.Round(0)
+	c.orders = append(c.orders, c.held...)
+	c.held = nil
 }
 
 // mayStart reports whether the ownership was proven lately enough for new starts, by both clocks
-// of the instance. An executor that starts again knows no epoch, so that nothing else would stop
-// an owner that was cut off or suspended.
+// of the instance. A successor is not known while the store is away, but it raises the epoch at
+// the executors it reaches, and waits for the leases at the others.
 func (c *Core) mayStart(now time.Time) bool {
-	limit := c.startLimit()
-	return now.Sub(c.proven) < limit && now.Round(0).Sub(c.provenWall) < limit
+	return now.Sub(c.proven) < startLimit && now.Round(0).Sub(c.provenWall) < startLimit
 }
 
-// startLimit is how long after the last proof tasks are started: no longer than it takes others
-// to take the cell over, unless commits take longer.
-func (c *Core) startLimit() time.Duration {
-	return min(max(ledger.StaleAfter, 2*c.commitTook+ledger.RenewInterval), maxStartLimit)
+// trusted reports whether an executor can not have forgotten the epoch of a successor: this owner
+// is confirmed, or the executor's present life has answered before the last proof and ever since.
+// One that starts again knows no epoch.
+func (c *Core) trusted(now time.Time, ex *executor) bool {
+	return c.Confirmed(now) || ex.misses == 0 && ex.lifeAt.Before(c.proven)
 }
 
 // Confirmed reports whether no other instance can own the cell: the last proof is younger than
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -69,7 +69,9 @@
 	// claimed is set when it has answered under this epoch, searched when all that it ran is known.
 	claimed, searched bool
 	life              int64
-	misses            int
+	// lifeAt is when the present life was first heard of.
+	lifeAt time.Time
+	misses int
 	// doubts is the number of starts without an answer since its last answer.
 	doubts int
 	runs   map[string]*run
@@ -161,10 +163,16 @@
 // usable reports whether the executor may get a task now.
 func (c *Core) usable(now time.Time, ex *executor) bool {
 	listed := ex.listed || now.Sub(ex.unlisted) < relistWait
-	if !c.mayStart(now) || c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
+	if !c.mayStart(now) || !c.trusted(now, ex) || c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
 		return false
 	}
-	return listed && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && !now.Before(ex.badUntil)
+	return listed && ex.described() && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && !now.Before(ex.badUntil)
+}
+
+// described reports whether the entry in the instance list is that of the life that answers; another
+// life may have less room.
+func (ex *executor) described() bool {
+	return ex.Life == 0 || ex.life == 0 || ex.Life == ex.life
 }
 
 // leaseEnd returns the end of the lease that may be told now, on the executor's clock.
--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -215,7 +215,6 @@
 
 // Committed does what had to wait for the commit.
 func (c *Core) Committed(now time.Time, b *Batch) {
-	c.commitTook = now.Sub(c.proven)
 	if c.refuses {
 		c.refuses = false
 		c.Log.Info("store takes commits again")
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -81,6 +81,9 @@
 
 // heard notes that the executor answered under this epoch.
 func (c *Core) heard(now time.Time, ex *executor, ans fleet.Answer) {
+	if ex.lifeAt.IsZero() {
+		ex.lifeAt = now
+	}
 	if ans.Life != 0 {
 		ex.life = ans.Life
 	}
@@ -112,7 +115,7 @@
 func (c *Core) newLife(now, sent time.Time, ex *executor, life int64, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", life).WithField("former", ex.life).
 		WithField("runs", len(ex.runs)).Warn("executor has started again")
-	ex.life = life
+	ex.life, ex.lifeAt = life, now
 	ex.clock, ex.until, ex.clockAt = 0, 0, now
 	ex.applied, ex.forget = 0, 0
 	ex.fails, ex.slow = 0, 1
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -208,7 +208,13 @@
 		}
 		c.Count.Resent++
 		r.ordered = true
-		c.orders = append(c.orders, Order{Executor: r.ex.Executor, Start: r.start, run: r, Try: o.Try + 1})
+		again := Order{Executor: r.ex.Executor, Start: r.start, run: r, Try: o.Try + 1}
+		if c.Confirmed(now) {
+			c.orders = append(c.orders, again)
+			return
+		}
+		// The executor may start again meanwhile and forget the epoch of a successor.
+		c.held = append(c.held, again)
 		return
 	}
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -117,3 +117,23 @@
 	w.run(3 * time.Second)
 	assert.Assert(t, !o.core.Done(w.now, "job"))
 }
+
+// An executor that has started again may have less room than its former entry says: it gets no
+// tasks before its new entry is there.
+func TestNewLifeIsNotUsedBeforeItsEntry(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	x := w.execs["x0"]
+	x.restart(w)
+	x.Capacity.CPUMillis = 2000
+	w.run(time.Second)
+	w.submit(o, "job", oneStep(testQueue, 4, 500*time.Millisecond))
+	w.run(time.Second)
+	assert.Equal(t, o.core.Count.Starts, int64(0))
+	o.found(x)
+	w.run(5 * time.Second)
+	w.expectClean()
+	assert.Equal(t, o.core.State("job").State, flow.Completed)
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -183,6 +183,11 @@
 	x.runs, x.ends = make(map[string]*fakeRun), nil
 	x.closed = make(map[fleet.Task]int64)
 	x.down = false
+	// The connections of looks in progress break.
+	for _, answer := range x.waiting {
+		w.after(0, answer)
+	}
+	x.waiting = nil
 }
 
 // print writes a log line of an owner with the virtual time.
