--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,10 +52,7 @@
 // An executor that was silent may have started again under its id: the count of ends of the former
 // life must not acknowledge those of the new one.
 func TestSilentExecutorIsToldNoCountOfEnds(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.failShare = 0
-	o := w.takeOver()
-	w.run(time.Second)
+	w, o := calmCell(t, 1)
 	w.submit(o, "done", oneStep(testQueue, 3, 200*time.Millisecond))
 	w.run(2 * time.Second)
 	_, look, _ := o.core.NextLook("x0")
@@ -67,11 +65,8 @@
 
 // Tasks that stand still on an executor that answers are started on another one.
 func TestTasksThatStandStillStartElsewhere(t *testing.T) {
-	w := newWorld(t, 1, 2)
-	w.failShare = 0
+	w, o := calmCell(t, 2)
 	w.execs["x0"].hangs = true
-	o := w.takeOver()
-	w.run(time.Second)
 	w.submit(o, "job", oneStep(testQueue, 6, 500*time.Millisecond))
 	w.run(8 * time.Second)
 	w.expectClean()
@@ -82,10 +77,7 @@
 // While the store is away a job is called completed once all of its tasks have ended, as long as
 // the executors that hold the ends answer: a later owner reads them there.
 func TestCompletedJobIsToldWhileTheStoreIsAway(t *testing.T) {
-	w := newWorld(t, 1, 2)
-	w.failShare = 0
-	o := w.takeOver()
-	w.run(time.Second)
+	w, o := calmCell(t, 2)
 	w.submit(o, "job", oneStep(testQueue, 4, 500*time.Millisecond))
 	w.run(200 * time.Millisecond)
 	w.storeDown = true
@@ -104,10 +96,7 @@
 
 // An end that may be lost with its executor is not told before it is stored.
 func TestEndOfASilentExecutorIsNotToldUnstored(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.failShare = 0
-	o := w.takeOver()
-	w.run(time.Second)
+	w, o := calmCell(t, 1)
 	w.submit(o, "job", oneStep(testQueue, 1, 500*time.Millisecond))
 	w.run(200 * time.Millisecond)
 	w.storeDown = true
@@ -121,10 +110,7 @@
 // An executor that has started again may have less room than its former entry says: it gets no
 // tasks before its new entry is there.
 func TestNewLifeIsNotUsedBeforeItsEntry(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.failShare = 0
-	o := w.takeOver()
-	w.run(time.Second)
+	w, o := calmCell(t, 1)
 	x := w.execs["x0"]
 	x.restart(w)
 	x.Capacity.CPUMillis = 2000
@@ -137,3 +123,34 @@
 	w.expectClean()
 	assert.Equal(t, o.core.State("job").State, flow.Completed)
 }
+
+// calmCell is a cell whose owner has claimed all executors and in which no run fails.
+func calmCell(t *testing.T, executors int) (*world, *owner) {
+	t.Helper()
+	w := newWorld(t, 1, executors)
+	w.failShare = 0
+	o := w.takeOver()
+	w.run(time.Second)
+	return w, o
+}
+
+// The tasks of a step that are slower on several racks start on the rack with the most room.
+func TestTasksOfOneRackStayTogether(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	w.failShare = 0
+	for i, rack := range []string{"r1", "r2", "r1", "r2", "r2"} {
+		x := w.addExecutor(fmt.Sprintf("x%d", i))
+		x.Rack, x.Domain = rack, "a"
+	}
+	o := w.takeOver()
+	w.run(time.Second)
+	spec := oneStep(testQueue, 9, time.Second)
+	spec.Steps[0].Gang, spec.Steps[0].SameRack, spec.Steps[0].PerExecutor = true, true, 3
+	w.submit(o, "job", spec)
+	w.run(300 * time.Millisecond)
+	racks := make(map[string]int)
+	for _, spans := range w.history {
+		racks[w.execs[spans[0].executor].Rack]++
+	}
+	assert.DeepEqual(t, racks, map[string]int{"r2": 9})
+}
--- a/internal/cell/work.go
+++ b/internal/cell/work.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -47,6 +48,8 @@
 	// pending are the indexes of the tasks to start.
 	pending []int
 	queued  bool
+	// rack is preferred by the tasks of a step that are slower on several racks.
+	rack string
 
 	tickets map[string]ticket
 	// judged has the life in which an executor was asked for; without a ticket it is not allowed.
@@ -99,6 +102,22 @@
 	return best
 }
 
+// roomiestRack returns the rack with room for the most tasks of a step.
+func (c *Core) roomiestRack(w *work) string {
+	fits := make(map[string]int)
+	best := ""
+	for _, ex := range c.ordered {
+		if !ex.listed || ex.Draining || !ex.claimed || ex.misses > 0 || !ex.HasLabel(w.spec.Label) {
+			continue
+		}
+		fits[ex.Rack] += c.fits(w, ex)
+		if best == "" || fits[ex.Rack] > fits[best] || fits[ex.Rack] == fits[best] && ex.Rack < best {
+			best = ex.Rack
+		}
+	}
+	return best
+}
+
 // workOf returns the work of a step; a new one has no pending tasks.
 func (c *Core) workOf(j *job, s fleet.Step) *work {
 	if w := j.works[s]; w != nil {
@@ -113,6 +132,9 @@
 	if w.queue == nil {
 		w.queue = &fleet.Queue{Name: j.Spec.Queue}
 	}
+	if w.spec.SameRack && w.spec.Rack == "" {
+		w.rack = c.roomiestRack(w)
+	}
 	j.works[s] = w
 	c.lock(w)
 	return w
@@ -385,10 +407,10 @@
 // penalty is what speaks against an executor for a step; lower is better.
 func penalty(w *work, ex *executor) float64 {
 	p := float64(w.avoid[ex.ID])*failedHere + 4*(ex.slow-1) + float64(ex.fails)
-	if w.spec.Rack != "" && w.spec.Rack != ex.Rack {
+	if rack := cmp.Or(w.spec.Rack, w.rack); rack != "" && rack != ex.Rack {
 		p += otherRackPenalty
 	}
-	if !w.spec.Lasts && w.spec.Rack == "" && w.job.home != ex.Domain {
+	if !w.spec.Lasts && w.spec.Rack == "" && w.rack == "" && w.job.home != ex.Domain {
 		p += otherDomainPenalty
 	}
 	if w.spec.Filler || w.spec.Target > 0 {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -106,7 +106,7 @@
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		Ledger: &ledger.Ledger{
 			Name: "b", Address: l.Addr().String(), Nonce: 7, Send: r.send, Scan: r.scan, Now: time.Now,
-			Pause: func(ctx context.Context, d time.Duration) { time.Sleep(d) },
+			Pause: sleep,
 		},
 		DecodePolicy: func([]byte) (*fleet.Policy, error) { return &fleet.Policy{Version: 1}, nil },
 		WatchPolicy: func(ctx context.Context, after int64) ([]byte, int64, error) {
@@ -134,6 +134,16 @@
 	return h
 }
 
+// startFollower starts an instance that follows an owner.
+func startFollower(t *testing.T) (*peerOf, *row, *host.Host) {
+	t.Helper()
+	owner := startPeer(t, &wire.FollowReply{Epoch: 3, ConfigVersion: 1})
+	r := &row{owner: &wire.OwnerRecord{Holder: "a", Address: owner.address, Epoch: 3}}
+	h := startHost(t, r, 100)
+	waitFor(t, "the owner to be followed", h.Ready)
+	return owner, r, h
+}
+
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -177,10 +187,7 @@
 // An instance that is cut off from the owner and the store does not hold callers: what it has
 // handed over has an unknown outcome, and the rest is sent to other instances at once.
 func TestCutOffInstanceDoesNotHoldCallers(t *testing.T) {
-	owner := startPeer(t, &wire.FollowReply{Epoch: 3, ConfigVersion: 1})
-	r := &row{owner: &wire.OwnerRecord{Holder: "a", Address: owner.address, Epoch: 3}}
-	h := startHost(t, r, 100)
-	waitFor(t, "the owner to be followed", h.Ready)
+	owner, r, h := startFollower(t)
 	owner.mu.Lock()
 	owner.silent = true
 	owner.mu.Unlock()
@@ -199,10 +206,7 @@
 // Requests that come after the owner has gone are not handed to it, so that callers are told that
 // nothing was done.
 func TestRequestsAfterTheOwnerHasGoneAreRejected(t *testing.T) {
-	owner := startPeer(t, &wire.FollowReply{Epoch: 3, ConfigVersion: 1})
-	r := &row{owner: &wire.OwnerRecord{Holder: "a", Address: owner.address, Epoch: 3}}
-	h := startHost(t, r, 100)
-	waitFor(t, "the owner to be followed", h.Ready)
+	owner, r, h := startFollower(t)
 	r.mu.Lock()
 	r.away = true
 	r.mu.Unlock()
@@ -222,3 +226,10 @@
 		assert.Assert(t, reply.RetryAfter > 0)
 	}
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
