Tell an overtaken answer by when it was asked for; write a batch in steps

An answer of a life with an earlier start was ignored, for good if the executor's time of day had been set back (TestNewLifeWithAnEarlierStartIsNoticed), and so was one without a start whose clock began anew. Found by reading. NextBatch is split into its parts; no change of what is stored.

--- a/internal/cell/keep.go
+++ b/internal/cell/keep.go
@@ -64,8 +64,11 @@
 	// pages are the rows that the batch writes, dropped those that it deletes.
 	pages   []*page
 	dropped []*page
-	forget  map[string]int64
-	lives   map[string]int64
+	// bytes is the size of the entries.
+	bytes int
+	// forget are, by executor, the ends that it may forget afterwards, of the life in lives.
+	forget map[string]int64
+	lives  map[string]int64
 	// places are the executors of jobs that are stored with the batch.
 	places []places
 }
@@ -103,74 +106,104 @@
 // NextBatch returns what to commit now. Jobs that do not fit wait for the next one; then no
 // executor may forget its ends yet.
 func (c *Core) NextBatch() (*Batch, error) {
-	k := &c.keep
 	b := &Batch{}
-	specs := pager{core: c, batch: b, prefix: ledger.JobPrefix}
-	progress := pager{core: c, batch: b, prefix: ledger.ProgressPrefix}
-	ends := pager{core: c, batch: b, prefix: ledger.EndPrefix}
-	full := func() bool { return specs.bytes+progress.bytes+ends.bytes >= ledger.MaxBytes }
-	for len(k.fresh) > 0 && !full() {
-		j := k.fresh[0]
-		if err := specs.add(j, &wire.PageEntry{Job: j.ID, Spec: j.Spec.Record()}); err != nil {
+	specs := &pager{core: c, batch: b, prefix: ledger.JobPrefix}
+	ends := &pager{core: c, batch: b, prefix: ledger.EndPrefix}
+	progress := &pager{core: c, batch: b, prefix: ledger.ProgressPrefix}
+	for _, add := range []func() error{
+		func() error { return c.addFresh(b, specs) },
+		func() error { return c.addFinal(b, ends) },
+		func() error { return c.addDirty(b, progress) },
+		specs.flush, progress.flush, ends.flush,
+	} {
+		if err := add(); err != nil {
 			return nil, err
 		}
+	}
+	c.addDrops(b)
+	if k := &c.keep; len(k.dirty) == 0 && len(k.final) == 0 {
+		k.ends = false
+		k.endsAt = time.Time{}
+		c.addForget(b)
+	}
+	return b, nil
+}
+
+// addFresh adds the jobs that were handed in.
+func (c *Core) addFresh(b *Batch, to *pager) error {
+	k := &c.keep
+	for len(k.fresh) > 0 && b.bytes < ledger.MaxBytes {
+		j := k.fresh[0]
+		if err := to.add(j, &wire.PageEntry{Job: j.ID, Spec: j.Spec.Record()}); err != nil {
+			return err
+		}
 		b.created = append(b.created, j)
 		j.storing = true
 		k.fresh = k.fresh[1:]
 	}
-	for len(k.final) > 0 && !full() {
+	return nil
+}
+
+// addFinal adds the jobs that have ended, except those that are not part of a commit yet.
+func (c *Core) addFinal(b *Batch, to *pager) error {
+	k := &c.keep
+	for len(k.final) > 0 && b.bytes < ledger.MaxBytes {
 		j := k.final[0]
 		if slices.Contains(k.fresh, j) {
-			break
+			return nil
 		}
-		if err := ends.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
-			return nil, err
+		if err := to.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
+			return err
 		}
 		b.final = append(b.final, j)
 		b.states = append(b.states, j.State)
 		delete(k.dirty, j.ID)
 		k.final = k.final[1:]
 	}
+	return nil
+}
+
+// addDirty adds the progress of other jobs; the text of a job is stored before its progress.
+func (c *Core) addDirty(b *Batch, to *pager) error {
+	k := &c.keep
+	k.places = false
 	for _, id := range slices.Sorted(maps.Keys(k.dirty)) {
 		j := k.dirty[id]
 		if !j.storing {
-			continue // its text has to be stored first
+			continue
 		}
-		if full() {
-			break
+		if b.bytes >= ledger.MaxBytes {
+			k.places = true
+			return nil
 		}
-		if err := progress.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
-			return nil, err
+		if err := to.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
+			return err
 		}
 		b.dirty = append(b.dirty, j)
 		b.addPlaces(j)
 		delete(k.dirty, id)
 	}
-	for _, p := range []*pager{&specs, &progress, &ends} {
-		if err := p.flush(); err != nil {
-			return nil, err
-		}
-	}
-	k.places = false
-	for _, j := range k.dirty {
-		k.places = k.places || j.storing
-	}
+	return nil
+}
+
+// addDrops adds rows that are not needed, as far as there is room.
+func (c *Core) addDrops(b *Batch) {
+	k := &c.keep
 	for len(k.drops) > 0 && b.rows() < ledger.MaxRows {
 		b.Deletes = append(b.Deletes, k.drops[0].key)
 		b.dropped = append(b.dropped, k.drops[0])
 		k.drops = k.drops[1:]
 	}
-	if len(k.dirty) == 0 && len(k.final) == 0 {
-		k.ends = false
-		k.endsAt = time.Time{}
-		b.forget = make(map[string]int64)
-		b.lives = make(map[string]int64)
-		for id, ex := range c.execs {
-			b.forget[id] = ex.applied
-			b.lives[id] = ex.life
-		}
+}
+
+// addForget notes the ends that executors may forget once the batch is stored.
+func (c *Core) addForget(b *Batch) {
+	b.forget = make(map[string]int64)
+	b.lives = make(map[string]int64)
+	for id, ex := range c.execs {
+		b.forget[id] = ex.applied
+		b.lives[id] = ex.life
 	}
-	return b, nil
 }
 
 func (b *Batch) rows() int {
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -26,8 +26,8 @@
 		c.missed(now, ex, ans)
 		return
 	}
-	if ans.Life != 0 && ans.Life < ex.life || ans.Life == ex.life && ans.HasClock && ex.claimed && ans.Clock < ex.clock {
-		return // a newer answer has overtaken it
+	if ex.overtaken(sent, ans) {
+		return
 	}
 	listed := make(map[string]bool, len(ans.Runs))
 	for i := range ans.Runs {
@@ -58,6 +58,18 @@
 	c.control(now, ex)
 }
 
+// overtaken reports whether a newer answer arrived first: one of the same life with a later clock,
+// or of another life that was heard of after this look was sent.
+func (ex *executor) overtaken(sent time.Time, ans fleet.Answer) bool {
+	if !ex.claimed {
+		return false
+	}
+	if ans.Life != ex.life {
+		return ans.Life != 0 && sent.Before(ex.lifeAt)
+	}
+	return ans.Life != 0 && ans.HasClock && ans.Clock < ex.clock
+}
+
 // depose notes that another instance owns the cell.
 func (c *Core) depose(by string) {
 	if !c.Deposed {
--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -154,3 +154,19 @@
 	}
 	assert.DeepEqual(t, racks, map[string]int{"r2": 9})
 }
+
+// An executor whose time of day was set back gives its new life an earlier start; it is a new life
+// all the same.
+func TestNewLifeWithAnEarlierStartIsNoticed(t *testing.T) {
+	w, o := calmCell(t, 2)
+	w.submit(o, "job", oneStep(testQueue, 8, 2*time.Second))
+	w.run(500 * time.Millisecond)
+	x := w.execs["x0"]
+	x.restart(w)
+	x.life -= time.Hour.Milliseconds()
+	w.run(100 * time.Millisecond)
+	o.found(x)
+	w.run(10 * time.Second)
+	w.expectClean()
+	assert.Equal(t, o.core.State("job").State, flow.Completed)
+}
--- a/internal/cell/page.go
+++ b/internal/cell/page.go
@@ -31,8 +31,8 @@
 
 	record wire.PageRecord
 	jobs   []*job
-	// size is that of the row in progress, bytes that of all rows.
-	size, bytes int
+	// size is that of the row in progress.
+	size int
 }
 
 // add appends an entry; a row that is full is put into the batch.
@@ -46,7 +46,7 @@
 	p.record.Entries = append(p.record.Entries, e)
 	p.jobs = append(p.jobs, j)
 	p.size += n
-	p.bytes += n
+	p.batch.bytes += n
 	return nil
 }
 
