Tell lost answers from executors that are down and from a busy owner

Change: an answer counts as lost only when the executor answers the next call, and not while this instance runs late; orders are repeated after 0.15 s, much later while it is busy; takeover again after 0.5 s of silence and 0.7 s of row age; cheap checks of an executor come first.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -133,8 +133,12 @@
 		q.Executors = append(q.Executors, ex.ID)
 		q.lives[ex.ID] = ex.life
 	}
-	for _, ex := range choose(options, room, max(need, w.job.Spec.Widest()), share, most) {
-		q.places = append(q.places, ex.ID)
+	q.places = q.Executors
+	if widest := w.job.Spec.Widest(); widest > need {
+		q.places = nil
+		for _, ex := range choose(options, room, widest, share, most) {
+			q.places = append(q.places, ex.ID)
+		}
 	}
 	return q
 }
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -79,9 +79,11 @@
 
 	// lossy is set while executors that are alive leave calls without an answer.
 	lossy bool
-	// losses counts such calls, lossAt is when the last one was noted, tickAt when Tick ran last.
-	losses         int
-	lossAt, tickAt time.Time
+	// losses counts such calls, lossAt is when the last one was noted.
+	losses int
+	lossAt time.Time
+	// tickAt is when Tick ran last, lateAt when it last ran late.
+	tickAt, lateAt time.Time
 
 	// refuses is set while the store refuses commits.
 	refuses bool
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -24,7 +24,7 @@
 
 	// orderTimeout is how long the first copy of an order waits for its answer, which takes a
 	// few milliseconds; each later copy waits twice as long, up to maxOrderTimeout.
-	orderTimeout    = 100 * time.Millisecond
+	orderTimeout    = 150 * time.Millisecond
 	maxOrderTimeout = 1200 * time.Millisecond
 
 	// lanes bounds the orders in progress at one executor, each on a connection of its own.
@@ -103,6 +103,7 @@
 	loaded       chan struct{}
 
 	storeNear   atomic.Bool
+	busy        atomic.Bool
 	lastWaiting atomic.Pointer[map[string]int64]
 }
 
@@ -373,6 +374,7 @@
 // publish makes figures available to other goroutines.
 func (d *Driver) publish(now time.Time) {
 	d.storeNear.Store(!d.core.StoreAway(now))
+	d.busy.Store(d.core.Busy(now))
 	m := d.core.Waiting()
 	d.lastWaiting.Store(&m)
 }
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -31,7 +31,7 @@
 	// lookGrace is how long an answer may take beyond the time for which it may be held, lossyGrace
 	// the same while answers get lost; it takes some milliseconds.
 	lookGrace  = 350 * time.Millisecond
-	lossyGrace = 150 * time.Millisecond
+	lossyGrace = 100 * time.Millisecond
 
 	// pausePerLook groups ends that come in quick succession.
 	pausePerLook = 15 * time.Millisecond
@@ -162,11 +162,13 @@
 
 // usable reports whether the executor may get a task now.
 func (c *Core) usable(now time.Time, ex *executor) bool {
-	listed := ex.listed || now.Sub(ex.unlisted) < relistWait
-	if !c.mayStart(now) || !c.trusted(now, ex) || c.leaseEnd(ex)-ex.clockNow(now) < leastLease {
+	if ex.Draining || !ex.claimed || ex.misses >= silentAfter || ex.doubts > 0 || ex.strangers > 0 || !ex.described() {
 		return false
 	}
-	return listed && ex.described() && ex.strangers == 0 && !ex.Draining && ex.claimed && ex.misses < silentAfter && ex.doubts == 0 && !now.Before(ex.badUntil)
+	if !ex.listed && now.Sub(ex.unlisted) >= relistWait || now.Before(ex.badUntil) {
+		return false
+	}
+	return c.mayStart(now) && c.trusted(now, ex) && c.leaseEnd(ex)-ex.clockNow(now) >= leastLease
 }
 
 // described reports whether the entry in the instance list is that of the life that answers; another
--- a/internal/cell/lane.go
+++ b/internal/cell/lane.go
@@ -46,7 +46,11 @@
 }
 
 func (d *Driver) carryOut(ctx context.Context, o Order) fleet.Answer {
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout<<min(o.Try, maxDoublings), maxOrderTimeout))
+	timeout := min(orderTimeout<<min(o.Try, maxDoublings), maxOrderTimeout)
+	if d.busy.Load() {
+		timeout = maxOrderTimeout // repeats would only add to the load of this instance
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	switch {
 	case o.Start != nil:
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -20,10 +20,10 @@
 		return
 	case fleet.OtherLife:
 		c.loseAll(now, ex, "another executor answers at its address")
-		c.missed(now, ex, ans)
+		c.missed(ex, ans)
 		return
 	default:
-		c.missed(now, ex, ans)
+		c.missed(ex, ans)
 		return
 	}
 	if ex.overtaken(sent, ans) {
@@ -79,8 +79,7 @@
 }
 
 // missed counts a look without an answer.
-func (c *Core) missed(now time.Time, ex *executor, ans fleet.Answer) {
-	c.noteLoss(now, ex)
+func (c *Core) missed(ex *executor, ans fleet.Answer) {
 	ex.misses++
 	c.Count.Silences++
 	c.copyRuns(ex)
@@ -104,6 +103,9 @@
 		ex.clockAt = now
 	}
 	back := ex.misses >= silentAfter
+	if ex.misses == 1 && ex.claimed {
+		c.noteLoss(now)
+	}
 	ex.misses = 0
 	if ex.doubts > 0 {
 		ex.doubts = 0
--- a/internal/cell/loss.go
+++ b/internal/cell/loss.go
@@ -4,39 +4,50 @@
 
 const (
 	// lossesTold is the number of calls without an answer within lossMemory from which answers are
-	// taken to get lost; single executors that crash leave one or two.
+	// taken to get lost.
 	lossesTold = 4
 
 	// lossMemory is how long a call without an answer counts.
 	lossMemory = 3 * time.Second
 
 	// tickLate is a pause between two ticks from which this instance itself is too slow to tell
-	// lost answers from late ones.
-	tickLate = 150 * time.Millisecond
+	// lost answers from late ones; ticks are due every 25 ms.
+	tickLate = 60 * time.Millisecond
+
+	// busyMemory is how long a late tick counts.
+	busyMemory = time.Second
 )
 
-// noteLoss counts a call that an executor left without an answer although it answered the one before.
-func (c *Core) noteLoss(now time.Time, ex *executor) {
-	if ex.misses > 0 {
+// noteLoss counts a call without an answer to an executor that answered the next one, so that it
+// has neither crashed nor been cut off.
+func (c *Core) noteLoss(now time.Time) {
+	if c.Busy(now) {
 		return
 	}
 	c.losses++
 	c.lossAt = now
 	if c.losses >= lossesTold && !c.lossy {
 		c.lossy = true
-		c.Log.WithField("losses", c.losses).Warn("executors leave calls without an answer: answers are held for a shorter time")
+		c.Log.WithField("losses", c.losses).Warn("executors leave calls without an answer: two looks are in progress at each busy one")
 	}
 }
 
+// Busy reports whether this instance has lately been too slow to keep its own times.
+func (c *Core) Busy(now time.Time) bool {
+	return now.Sub(c.lateAt) < busyMemory
+}
+
 // fadeLosses forgets losses after a while, and at once when this instance is too slow itself.
 func (c *Core) fadeLosses(now time.Time) {
-	late := !c.tickAt.IsZero() && now.Sub(c.tickAt) > tickLate
+	if !c.tickAt.IsZero() && now.Sub(c.tickAt) > tickLate {
+		c.lateAt = now
+	}
 	c.tickAt = now
-	if c.losses == 0 || !late && now.Sub(c.lossAt) < lossMemory {
+	if c.losses == 0 || !c.Busy(now) && now.Sub(c.lossAt) < lossMemory {
 		return
 	}
 	if c.lossy {
-		c.Log.WithField("losses", c.losses).WithField("slow_instance", late).Info("executors answer all calls again")
+		c.Log.WithField("losses", c.losses).WithField("slow_instance", c.Busy(now)).Info("executors answer all calls again")
 	}
 	c.losses, c.lossy = 0, false
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -190,6 +190,9 @@
 	r := o.run
 	switch ans.Verdict {
 	case fleet.Obeyed, fleet.Outdated:
+		if o.Try == 1 {
+			c.noteLoss(now)
+		}
 		r.doubtful = false
 		if r.known.IsZero() {
 			r.known = now
@@ -199,7 +202,6 @@
 		}
 		return
 	case fleet.Silent:
-		c.noteLoss(now, r.ex)
 		r.doubtful, r.stray = true, true
 		r.ex.doubts++
 		r.ex.strays = append(r.ex.strays, stray{task: r.task, number: r.number, sent: now})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,7 +21,7 @@
 	followHold = 200 * time.Millisecond
 
 	// ownerSilence is how long the owner may be silent before a follower reads its row.
-	ownerSilence = 400 * time.Millisecond
+	ownerSilence = 500 * time.Millisecond
 
 	// readySilence is how long the owner may be out of reach before callers are sent elsewhere.
 	readySilence = 600 * time.Millisecond
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,7 +25,7 @@
 
 	// StaleAfter is the age of the owner's row, by the store's clock, at which another
 	// instance takes the cell over: two renewals and a slow answer.
-	StaleAfter = 500 * time.Millisecond
+	StaleAfter = 700 * time.Millisecond
 
 	// MaxRows is how many puts and deletes one commit may hold besides the owner's row.
 	MaxRows = 98
