Call a job completed only once that is stored

In an outage a job was called completed from the lists of its executors; one of these crashed, the owner was killed, and the successor ran the tasks again.

--- a/internal/cell/calls.go
+++ b/internal/cell/calls.go
@@ -19,13 +19,7 @@
 
 // State tells the state of a job.
 func (d *Driver) State(ctx context.Context, id string) Reply {
-	return d.call(ctx, func(now time.Time, reply func(Reply)) {
-		if d.core.Done(now, id) {
-			reply(Reply{Outcome: Found, State: flow.Completed})
-			return
-		}
-		d.sure(now, reply)(d.core.State(id))
-	})
+	return d.call(ctx, func(now time.Time, reply func(Reply)) { d.sure(now, reply)(d.core.State(id)) })
 }
 
 // sure passes on that a job is absent only while no other instance can own the cell.
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -26,10 +26,6 @@
 	// below the lease, so that a task has time to run before the store is back.
 	startLimit = 4500 * time.Millisecond
 
-	// lateCommit is the age of the last proven commit from which commits are late: they follow one
-	// another within RenewInterval and take 12 ms.
-	lateCommit = 300 * time.Millisecond
-
 	// rejectPause is what callers are told to wait while the store can not be reached; outages
 	// of seconds are the usual ones.
 	rejectPause = 2 * time.Second
@@ -132,8 +128,6 @@
 	// stored are the executors that the store names for the job: only there its tasks are started,
 	// so that a later owner knows where they can run.
 	stored map[string]bool
-	// unstored are, by executor, the newest ends of its tasks that the executor still repeats.
-	unstored map[string]endMark
 	// storing is set once the job is part of a commit.
 	storing bool
 	// specPage and progressPage are the rows of the store that hold it.
@@ -156,11 +150,6 @@
 	cancels []func(Reply)
 }
 
-// endMark is an end in the list of one life of an executor.
-type endMark struct {
-	life, sequence int64
-}
-
 // run is one start of a task.
 type run struct {
 	job    *job
--- a/internal/cell/look.go
+++ b/internal/cell/look.go
@@ -184,7 +184,6 @@
 	if j == nil {
 		return
 	}
-	j.unstored[ex.ID] = endMark{ex.life, e.Sequence}
 	if e.Kind == fleet.Failed {
 		j.failed++
 		c.Log.WithField("job", j.ID).WithField("step", e.Task.Step).WithField("index", e.Task.Index).
--- a/internal/cell/orders_test.go
+++ b/internal/cell/orders_test.go
@@ -74,17 +74,15 @@
 	assert.Assert(t, o.core.Count.Stalls > 0)
 }
 
-// While the store is away a job is called completed once all of its tasks have ended, as long as
-// the executors that hold the ends answer: a later owner reads them there.
-func TestCompletedJobIsToldWhileTheStoreIsAway(t *testing.T) {
+// A job that ends while the store is away is not called completed: the executor can lose the ends
+// before a later owner reads them, and the tasks would run again after the answer.
+func TestCompletedJobIsNotToldUnstored(t *testing.T) {
 	w, o := calmCell(t, 2)
 	w.submit(o, "job", oneStep(testQueue, 4, 500*time.Millisecond))
 	w.run(200 * time.Millisecond)
 	w.storeDown = true
-	assert.Assert(t, !o.core.Done(w.now, "job"))
 	w.run(2 * time.Second)
 	assert.Equal(t, o.core.State("job").State, flow.Running)
-	assert.Assert(t, o.core.Done(w.now, "job"))
 	w.storeDown = false
 	next := w.takeOver()
 	w.run(time.Second)
@@ -94,19 +92,6 @@
 	}
 }
 
-// An end that may be lost with its executor is not told before it is stored.
-func TestEndOfASilentExecutorIsNotToldUnstored(t *testing.T) {
-	w, o := calmCell(t, 1)
-	w.submit(o, "job", oneStep(testQueue, 1, 500*time.Millisecond))
-	w.run(200 * time.Millisecond)
-	w.storeDown = true
-	w.run(2 * time.Second)
-	assert.Assert(t, o.core.Done(w.now, "job"))
-	w.execs["x0"].down = true
-	w.run(3 * time.Second)
-	assert.Assert(t, !o.core.Done(w.now, "job"))
-}
-
 // An executor that has started again may have less room than its former entry says: it gets no
 // tasks before its new entry is there.
 func TestNewLifeIsNotUsedBeforeItsEntry(t *testing.T) {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -83,7 +83,6 @@
 	j := &job{
 		Job: fj, works: make(map[fleet.Step]*work), runs: make(map[fleet.Task][]*run),
 		nextRun: make(map[fleet.Task]int64), stored: make(map[string]bool),
-		unstored: make(map[string]endMark),
 	}
 	if q != nil {
 		j.priority = q.Priority
@@ -130,23 +129,6 @@
 	return Reply{Outcome: Found, State: flow.Pending}
 }
 
-// Done reports whether a job is completed although that could not be stored yet: the store is late,
-// and the ends of all tasks stand in the lists of executors that answer, which repeat them to any
-// owner until they are stored.
-func (c *Core) Done(now time.Time, id string) bool {
-	j := c.jobs[id]
-	if j == nil || !j.accepted || j.State != flow.Completed || now.Sub(c.proven) < lateCommit {
-		return false
-	}
-	for executor, mark := range j.unstored {
-		ex := c.execs[executor]
-		if ex == nil || ex.life != mark.life || ex.misses > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Waiting returns the number of accepted jobs of each queue that have not begun.
 func (c *Core) Waiting() map[string]int64 {
 	out := make(map[string]int64, len(c.waiting))
