internal/relay: the owner's calls to executors go through large followers

Change: above 60 executors the calls are grouped into batches on one stream to each of up to 20 relays, followers with at least half of the capacity of the largest, preferably in the executor's failure domain. The owner still decides on every call and fences it with its epoch; a delay in a relay only shortens leases. A poll whose relay fails is repeated directly, a command that may have been sent is not. Texts of jobs cross a stream once. Weighed against shards: one accounting of capacity and one chain of commits stay.

--- a/cmd/daisyrack/instance.go
+++ b/cmd/daisyrack/instance.go
@@ -59,7 +59,8 @@
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	logger.WithField("version", version).WithField("address", settings.IngressAddress).Info("instance started")
+	logger.WithField("version", version).WithField("address", settings.IngressAddress).
+		WithField("cpu_millis", settings.CPUMillis).WithField("memory_mb", settings.MemoryMB).WithField("link_mbit", settings.LinkMbit).Info("instance started")
 	waitForStop(ctx, app, path)
 	err = app.Stop()
 	logger.WithError(err).Info("instance stopped")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/ledger"
+	"github.com/daisyrack/daisyrack/internal/relay"
 	"github.com/daisyrack/daisyrack/pkg/peer"
 	"github.com/daisyrack/daisyrack/pkg/wire"
 )
@@ -64,8 +65,10 @@
 
 	Log log.Interface
 
-	// NewDriver returns a driver whose functions for calls to executors and the store are set.
+	// NewDriver returns a driver whose functions for calls to the store are set.
 	NewDriver func() *cell.Driver
+	// Executors makes calls to executors from this instance.
+	Executors fleet.Caller
 	// Ledger reads and writes the owner's row.
 	Ledger *ledger.Ledger
 
@@ -108,10 +111,14 @@
 	ownerChanged chan struct{}
 	// candidates are the addresses of the owner's followers in the order in which they take over.
 	candidates []string
+	// candidatesHash is the owner's hash of candidates; 0 if it is not known.
+	candidatesHash uint64
 	// queueLengths are the numbers of waiting jobs that the owner last reported.
 	queueLengths map[string]int64
 	// followers are the instances that have called this one in its current term as owner.
 	followers map[string]*follower
+	// live is the last list of the live ones among them.
+	live liveList
 	// preferredRelay is the address of the follower that last reached the store for this owner.
 	preferredRelay string
 	// yieldedAt is when this instance gave up the cell in favour of a larger one.
@@ -143,10 +150,27 @@
 
 // Serve serves the calls of other instances until ctx ends.
 func (h *Host) Serve(ctx context.Context, l net.Listener) error {
-	s := peer.Server{Handle: h.handle, MaxInFlight: maxCallsInFlight}
+	s := peer.Server{Handle: h.handle, HandleStream: h.handleStream, MaxInFlight: maxCallsInFlight}
 	return s.Serve(ctx, l)
 }
 
+// handleStream serves the stream of an owner that uses this instance as a relay, or of a follower.
+func (h *Host) handleStream(ctx context.Context, req *wire.Request, stream *peer.Stream) bool {
+	switch {
+	case req.GetRelayOpen() != nil:
+		s := relay.Server{Executors: h.Executors, Log: h.Log}
+		s.Serve(ctx, req.GetRelayOpen(), stream)
+	case req.GetFollow().GetStream():
+		if h.driver.Load() != nil {
+			h.recordFollower(req.GetFollow())
+		}
+		h.serveFollower(ctx, req.GetFollow(), stream)
+	default:
+		return false
+	}
+	return true
+}
+
 // Config returns the active configuration, or nil if there is none yet.
 func (h *Host) Config() *fleet.Config {
 	return h.activeConfig.Load()
--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/pkg/peer"
+	"github.com/daisyrack/daisyrack/pkg/wire"
+)
+
+const (
+	// minBatchInterval is the minimum time between two batches on one stream in one direction. It
+	// limits the processor time spent on messages, at the price of a short delay.
+	minBatchInterval = 8 * time.Millisecond
+
+	// sendTimeout is how long a batch may wait for room on its connection.
+	sendTimeout = 500 * time.Millisecond
+
+	// silenceTimeout is how long a relay may send nothing before it counts as failed; it is several
+	// times aliveInterval.
+	silenceTimeout = 400 * time.Millisecond
+
+	// checkInterval is the time between two checks for silence. A check that runs late is skipped,
+	// because then this instance is too slow to tell.
+	checkInterval = 50 * time.Millisecond
+
+	// replyMargin is the part of a call's time that is left for the way of its result.
+	replyMargin = 40 * time.Millisecond
+
+	// maxTimeouts is the number of calls without a result from the relay within timeoutWindow from
+	// which the relay counts as failed. A relay that works reports an executor's silence in time.
+	maxTimeouts   = 8
+	timeoutWindow = time.Second
+)
+
+// errRelayFailed is the cause of calls that end because their relay failed.
+var errRelayFailed = errors.New("relay: instance that makes the call failed")
+
+// link is the owner's connection to one relay.
+type link struct {
+	address string
+	domain  string
+
+	// up is set while the stream is open.
+	up atomic.Bool
+	// lastReceived is when the last batch arrived, in Unix nanoseconds.
+	lastReceived atomic.Int64
+	wake         chan struct{}
+	// failed is closed when the link has ended.
+	failed chan struct{}
+
+	mu     sync.Mutex
+	nextID int64
+	queue  []*pendingCall
+	// sent holds the calls that were sent and have no result yet.
+	sent map[int64]*pendingCall
+	// timeouts counts the calls without a result since timeoutsSince.
+	timeouts      int
+	texts         textWindow
+	timeoutsSince time.Time
+}
+
+// pendingCall is a call that waits for its result.
+type pendingCall struct {
+	call   *wire.RelayCall
+	text   string
+	result chan *wire.RelayResult
+	sent   bool
+}
+
+func newLink(c Candidate) *link {
+	return &link{
+		address: c.Address, domain: c.Domain, wake: make(chan struct{}, 1), failed: make(chan struct{}),
+		sent: make(map[int64]*pendingCall),
+	}
+}
+
+// run serves the stream until it fails or ctx ends, and returns the cause.
+func (l *link) run(ctx context.Context, stream *peer.Stream) error {
+	defer close(l.failed)
+	defer l.up.Store(false)
+	defer stream.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	l.lastReceived.Store(time.Now().UnixNano())
+	l.up.Store(true)
+	go func() { cancel(l.receive(stream)) }()
+	go func() { cancel(l.send(ctx, stream)) }()
+	last := time.Now()
+	for {
+		pause(ctx, checkInterval)
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		now := time.Now()
+		late := now.Sub(last) > 2*checkInterval
+		last = now
+		if late {
+			l.lastReceived.Store(now.UnixNano())
+			continue
+		}
+		if silence := now.Sub(time.Unix(0, l.lastReceived.Load())); silence > silenceTimeout {
+			return errors.Newf("relay: nothing received for %s", silence.Round(time.Millisecond))
+		}
+		if l.tooManyTimeouts(now) {
+			return errors.Newf("relay: %d calls without a result", maxTimeouts)
+		}
+	}
+}
+
+// receive hands results to the calls that wait for them.
+func (l *link) receive(stream *peer.Stream) error {
+	for {
+		var batch wire.RelayResults
+		if err := stream.Receive(&batch, 0); err != nil {
+			return err
+		}
+		l.lastReceived.Store(time.Now().UnixNano())
+		l.mu.Lock()
+		for _, r := range batch.GetResults() {
+			if p := l.sent[r.GetId()]; p != nil {
+				delete(l.sent, r.GetId())
+				p.result <- r
+			}
+		}
+		l.mu.Unlock()
+	}
+}
+
+// send writes queued calls in batches.
+func (l *link) send(ctx context.Context, stream *peer.Stream) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.wake:
+		}
+		if batch := l.nextBatch(); len(batch.Calls) > 0 {
+			if err := stream.Send(batch, sendTimeout); err != nil {
+				return err
+			}
+		}
+		pause(ctx, minBatchInterval)
+	}
+}
+
+// nextBatch takes calls from the queue.
+func (l *link) nextBatch() *wire.RelayCalls {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := &wire.RelayCalls{}
+	n := 0
+	for bytes := 0; n < len(l.queue) && n < maxBatchCalls && bytes < maxBatchBytes && len(batch.Texts) < maxBatchTexts; n++ {
+		p := l.queue[n]
+		if p.call.Start != nil {
+			number, known := l.texts.find(p.text)
+			if !known {
+				number = l.texts.add(p.text)
+				batch.Texts = append(batch.Texts, p.text)
+				bytes += len(p.text)
+			}
+			p.call.Start.Text = number
+		}
+		p.sent = true
+		l.sent[p.call.Id] = p
+		batch.Calls = append(batch.Calls, p.call)
+	}
+	l.queue = l.queue[n:]
+	if len(l.queue) > 0 {
+		notify(l.wake)
+	}
+	return batch
+}
+
+// maxBatchBytes limits the texts in one batch.
+const maxBatchBytes = 1 << 20
+
+// call makes one call through the relay. If it returns an error, sent reports whether the relay may
+// have received the call.
+func (l *link) call(ctx context.Context, call *wire.RelayCall, text string) (resp fleet.Response, sent bool, err error) {
+	p := &pendingCall{call: call, text: text, result: make(chan *wire.RelayResult, 1)}
+	l.mu.Lock()
+	l.nextID++
+	call.Id = l.nextID
+	l.queue = append(l.queue, p)
+	l.mu.Unlock()
+	notify(l.wake)
+	select {
+	case r := <-p.result:
+		return decodeResponse(r), true, nil
+	case <-l.failed:
+		err = errRelayFailed
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return fleet.Response{}, l.abandon(p, errors.Is(err, context.DeadlineExceeded)), err
+}
+
+// abandon forgets a call and reports whether it was sent.
+func (l *link) abandon(p *pendingCall, timedOut bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sent, p.call.Id)
+	for i := range l.queue {
+		if l.queue[i] == p {
+			l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+			break
+		}
+	}
+	if timedOut && p.sent {
+		l.timeouts++
+	}
+	return p.sent
+}
+
+// tooManyTimeouts reports whether the relay left too many calls without a result.
+func (l *link) tooManyTimeouts(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timeouts >= maxTimeouts {
+		return true
+	}
+	if now.Sub(l.timeoutsSince) > timeoutWindow {
+		l.timeouts, l.timeoutsSince = 0, now
+	}
+	return false
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -28,6 +28,10 @@
 	// Handle returns the response to one call; nil means that the call is not supported.
 	Handle func(ctx context.Context, req *wire.Request) *wire.Response
 
+	// HandleStream serves a stream that req opens until it ends. It returns false, without using the
+	// stream, if req is a call. Nil means that streams are not supported.
+	HandleStream func(ctx context.Context, req *wire.Request, s *Stream) bool
+
 	// MaxInFlight limits the calls in flight on one connection; 0 means DefaultMaxInFlight.
 	MaxInFlight int
 }
@@ -98,6 +102,12 @@
 	if err := ReadMessage(stream, &req); err != nil {
 		return
 	}
+	if s.HandleStream != nil {
+		_ = stream.SetReadDeadline(time.Time{})
+		if s.HandleStream(ctx, &req, &Stream{stream: stream}) {
+			return
+		}
+	}
 	res := s.respond(ctx, &req, slots)
 	_ = stream.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
 	_ = WriteMessage(stream, res)
