internal/host: the owner sends its state to followers on streams

Cause: each follower calls the owner five times a second, 730 calls on the large fleet, each with the list of all followers. Change: the owner sends its state on a stream that each follower keeps open; list, counts and configuration are left out where they are unchanged or come from the store. A follower of the former build is still served by calls, and an owner of the former build answers the first message of a stream like a call. Queued events are handled for at most 20 ms before the next commit; instances far down in the takeover order read the owner's row less often.

--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -20,6 +20,9 @@
 	// full.
 	eventQueueSize = 1024
 
+	// maxEventTime is how long queued events are handled before the next scheduling pass and commit.
+	maxEventTime = 20 * time.Millisecond
+
 	// tickInterval is the interval of time-based work that no event triggers.
 	tickInterval = 25 * time.Millisecond
 
@@ -218,12 +221,18 @@
 	}
 }
 
-// drainEvents handles all queued events, so that one scheduling pass covers them.
+// drainEvents handles queued events, so that one scheduling pass covers them. It returns after
+// maxEventTime: while events arrive faster than they are handled, ownership must still be renewed.
 func (d *Driver) drainEvents() {
+	start := d.Ledger.Now()
 	for range eventQueueSize {
 		select {
 		case f := <-d.events:
-			f(d.Ledger.Now())
+			now := d.Ledger.Now()
+			f(now)
+			if now.Sub(start) > maxEventTime {
+				return
+			}
 		default:
 			return
 		}
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -119,6 +119,55 @@
 	}
 }
 
+// largestFleetSize is the number of executors for which heavyLoad is defined.
+const largestFleetSize = 1100
+
+// newLargestFleet returns a simulation of a fleet whose load takes nine tenths of its cores.
+func newLargestFleet(t testing.TB, seed uint64, executors int) *simulation {
+	sim := newLargeFleet(t, seed, executors)
+	sim.allowedShare, sim.failureShare = 0.5, 0.03
+	for i := range sim.config.Queues {
+		q := &sim.config.Queues[i]
+		q.Advice = &fleet.Advice{BaseLatency: 43 * time.Millisecond, LatencyPerExecutor: 611 * time.Microsecond, TicketTTL: 2500 * time.Millisecond}
+		if q.Name == slowQueue {
+			q.Advice = &fleet.Advice{BaseLatency: 546 * time.Millisecond, LatencyPerExecutor: 8 * time.Millisecond, TicketTTL: 2500 * time.Millisecond}
+		}
+	}
+	return sim
+}
+
+// heavyLoad returns the load of the largest fleet, scaled to a number of executors.
+func heavyLoad(executors int) []workload {
+	fraction := float64(executors) / largestFleetSize
+	return []workload{
+		{queue: testQueue, rate: 47 * fraction, steps: 2, count: 13, estimate: time.Second, cpuMillis: 3500},
+		{queue: slowQueue, rate: 7.24 * fraction, steps: 2, count: 33, estimate: 4800 * time.Millisecond, cpuMillis: 4500},
+	}
+}
+
+func BenchmarkOwnerOfTheLargestFleet(b *testing.B) {
+	const length = 16 * time.Second
+	for range b.N {
+		sim := newLargestFleet(b, 1, largestFleetSize)
+		o := sim.takeOver()
+		sim.advance(time.Second)
+		for _, l := range heavyLoad(largestFleetSize) {
+			sim.submitLoad(o, l, length)
+		}
+		sim.schedule(6*time.Second, func() {
+			for _, l := range heavyLoad(largestFleetSize) {
+				l.rate *= 0.7
+				sim.submitLoad(o, l, 4*time.Second)
+			}
+		})
+		start := time.Now()
+		sim.advance(length)
+		b.ReportMetric(time.Since(start).Seconds()/length.Seconds(), "cores")
+		b.ReportMetric(float64(o.core.Stats.Starts)/length.Seconds(), "starts/s")
+		b.ReportMetric(float64(o.core.Stats.Polls)/length.Seconds(), "looks/s")
+	}
+}
+
 // startedWithin returns for how many jobs of a queue the first task started within a time.
 func (sim *simulation) startedWithin(queue string, within time.Duration) (good, all int) {
 	first := make(map[string]time.Time)
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/daisyrack/daisyrack/internal/cell"
@@ -224,36 +226,21 @@
 	}
 }
 
-// handleFollow serves the long poll of a follower: it holds the call for followHoldTime and returns
-// the state of the cell. An instance that is not the owner returns the owner that it knows.
+// handleFollow serves a single follow call: it holds the call for followHoldTime and returns the
+// state of the cell.
 func (h *Host) handleFollow(ctx context.Context, f *wire.Follow) *wire.FollowReply {
 	d := h.driver.Load()
 	if d == nil {
-		owner, _, _ := h.currentOwner()
-		if owner == h.Address {
-			owner = ""
-		}
-		return &wire.FollowReply{OwnerAddress: owner, Resigned: h.isLeaving() || h.recentlyYielded()}
+		return h.followReply(nil, f)
 	}
 	h.recordFollower(f)
-	config := h.Config()
-	if config.Version <= f.GetConfigVersion() && !f.GetAtOnce() {
+	if h.Config().Version <= f.GetConfigVersion() && !f.GetAtOnce() {
 		sleepDuringTerm(ctx, d, followHoldTime)
-		config = h.Config()
 	}
 	if h.driver.Load() != d {
 		return &wire.FollowReply{Resigned: true}
 	}
-	h.mu.Lock()
-	r := &wire.FollowReply{Epoch: max(h.ownerEpoch, 1), ConfigVersion: config.Version, Followers: h.candidateAddresses(), StoreAway: !d.StoreReachable()}
-	h.mu.Unlock()
-	if config.Version > f.GetConfigVersion() {
-		r.Config = config.Source
-	}
-	for queue, n := range d.LastPendingJobs() {
-		r.Counts = append(r.Counts, &wire.QueueCount{Queue: queue, Waiting: n})
-	}
-	return r
+	return h.followReply(d, f)
 }
 
 // sleepDuringTerm sleeps for wait, or until the term of d ends if that is sooner.
@@ -267,45 +254,59 @@
 	}
 }
 
-// recordFollower stores the state that a follower sent with its call.
+// recordFollower stores the state that a follower sent.
 func (h *Host) recordFollower(f *wire.Follow) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.followers[f.GetName()] == nil {
+	old := h.followers[f.GetName()]
+	if old == nil {
 		h.Log.WithField("follower", f.GetName()).WithField("address", f.GetAddress()).Info("new follower")
 	}
+	if old == nil || old.leaving != f.GetLeaving() {
+		h.live.listedAt = time.Time{}
+	}
 	h.followers[f.GetName()] = &follower{
 		name: f.GetName(), address: f.GetAddress(), domain: f.GetFailureDomain(), weight: f.GetWeight(),
 		lastCall: time.Now(), leaving: f.GetLeaving(),
 	}
 }
 
+// liveListInterval is how long a list of live followers is used before it is made anew.
+const liveListInterval = 20 * time.Millisecond
+
+// liveList is a list of the live followers, in the order in which they take over.
+type liveList struct {
+	listedAt  time.Time
+	followers []*follower
+	addresses []string
+	// hash identifies the addresses; it is never 0.
+	hash uint64
+}
+
 // liveFollowers returns the followers that called within followerTTL and are not leaving, those
-// with the highest weight first. The caller must hold h.mu.
-func (h *Host) liveFollowers() []*follower {
-	var out []*follower
+// with the highest weight first. The caller must hold h.mu and not change the list.
+func (h *Host) liveFollowers() *liveList {
+	if time.Since(h.live.listedAt) < liveListInterval {
+		return &h.live
+	}
+	l := liveList{listedAt: time.Now()}
 	for _, f := range h.followers {
 		if time.Since(f.lastCall) < followerTTL && !f.leaving {
-			out = append(out, f)
+			l.followers = append(l.followers, f)
 		}
 	}
-	sort.Slice(out, func(i, k int) bool {
-		if out[i].weight != out[k].weight {
-			return out[i].weight > out[k].weight
+	sort.Slice(l.followers, func(i, k int) bool {
+		if l.followers[i].weight != l.followers[k].weight {
+			return l.followers[i].weight > l.followers[k].weight
 		}
-		return out[i].name < out[k].name
+		return l.followers[i].name < l.followers[k].name
 	})
-	return out
-}
-
-// candidateAddresses returns the addresses of the live followers in the order in which they take
-// over. The caller must hold h.mu.
-func (h *Host) candidateAddresses() []string {
-	var out []string
-	for _, f := range h.liveFollowers() {
-		out = append(out, f.address)
+	for _, f := range l.followers {
+		l.addresses = append(l.addresses, f.address)
 	}
-	return out
+	l.hash = xxhash.Sum64String(strings.Join(l.addresses, " ")) | 1
+	h.live = l
+	return &h.live
 }
 
 // advisers returns the addresses of the advisers, the instances through which the policy service can
@@ -313,7 +314,7 @@
 func (h *Host) advisers() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append(h.candidateAddresses(), h.Address)
+	return append(slices.Clone(h.liveFollowers().addresses), h.Address)
 }
 
 // requestAdvice makes one call to the policy service through the instance at address adviser.
@@ -443,7 +444,7 @@
 	if h.driver.Load() == nil {
 		return nil
 	}
-	live := h.liveFollowers()
+	live := slices.Clone(h.liveFollowers().followers)
 	sort.SliceStable(live, func(i, k int) bool {
 		return h.relayPriority(live[i]) < h.relayPriority(live[k])
 	})
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -16,8 +16,11 @@
 	// followRetryInterval is the time between a failed follow call and the next one.
 	followRetryInterval = 50 * time.Millisecond
 
-	// rowReadInterval is the time between two reads of the owner's row by one candidate.
-	rowReadInterval = 80 * time.Millisecond
+	// minRowReadInterval is the time between two reads of the owner's row by the first candidate. The
+	// time grows by rowReadIntervalStep with each rank, up to maxRowReadInterval.
+	minRowReadInterval  = 80 * time.Millisecond
+	rowReadIntervalStep = 8 * time.Millisecond
+	maxRowReadInterval  = 400 * time.Millisecond
 
 	// weightDelayRanks is the weight delay of an instance of weight 0, as a multiple of the delay
 	// between successive ranks.
@@ -68,14 +71,16 @@
 	return nil
 }
 
-// follow polls the owner until it no longer responds or is no longer the owner. It reports whether
+// follow follows the owner until it no longer responds or is no longer the owner. It reports whether
 // the owner is known to be gone: it has resigned or its process does not run.
 func (h *Host) follow(ctx context.Context, owner string) (confirmedGone bool) {
 	ctx, cancel := h.untilOwnerChanges(ctx, owner)
 	defer cancel()
+	f := &followStream{host: h, owner: owner}
+	defer f.close()
 	last := time.Now()
 	for ctx.Err() == nil {
-		reply, outcome, err := h.callFollow(ctx, owner, ownerTimeout, false)
+		reply, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return false
@@ -99,7 +104,7 @@
 		}
 		if ctx.Err() == nil && time.Since(last) >= ownerTimeout {
 			h.Log.WithField("owner", owner).WithField("silent_ms", time.Since(last).Milliseconds()).
-				WithField("sent", outcome != peer.NotSent).WithError(err).Warn("owner does not respond")
+				WithError(err).Warn("owner does not respond")
 			h.peerClient.Disconnect(owner)
 			h.followClient.Disconnect(owner)
 			return false
@@ -187,17 +192,7 @@
 func (h *Host) callFollow(ctx context.Context, owner string, timeout time.Duration, noHold bool) (*wire.FollowReply, peer.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	version := int64(0)
-	if config := h.Config(); config != nil {
-		version = config.Version
-	}
-	h.mu.Lock()
-	leaving := h.leaving
-	h.mu.Unlock()
-	res, outcome, err := h.followClient.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: &wire.Follow{
-		Name: h.Name, Address: h.Address, FailureDomain: h.Domain, ConfigVersion: version,
-		Weight: h.Weight, Leaving: leaving, AtOnce: noHold,
-	}}})
+	res, outcome, err := h.followClient.Call(ctx, owner, &wire.Request{Body: &wire.Request_Follow{Follow: h.followRequest(noHold, false)}})
 	if err != nil {
 		return nil, outcome, err
 	}
@@ -217,8 +212,12 @@
 	}
 	h.mu.Lock()
 	h.lastResponse = time.Now()
-	h.candidates = r.GetFollowers()
-	h.queueLengths = make(map[string]int64, len(r.GetCounts()))
+	if r.GetFollowersHash() == 0 || r.GetFollowersHash() != h.candidatesHash {
+		h.candidates, h.candidatesHash = r.GetFollowers(), r.GetFollowersHash()
+	}
+	if !r.GetCountsUnchanged() {
+		h.queueLengths = make(map[string]int64, len(r.GetCounts()))
+	}
 	for _, n := range r.GetCounts() {
 		h.queueLengths[n.GetQueue()] = n.GetWaiting()
 	}
@@ -236,7 +235,7 @@
 
 // contend reads the owner's row once and takes the cell over if the row is not renewed. It returns
 // true when another owner is known or a term of this instance has ended. Otherwise it sleeps for
-// rowReadInterval and returns false.
+// a while and returns false.
 func (h *Host) contend(ctx context.Context, former string, confirmedGone bool) bool {
 	start := time.Now()
 	row, err := h.readOwner(ctx)
@@ -249,7 +248,7 @@
 		if owner, _, _ := h.currentOwner(); owner != "" && owner != former {
 			return true
 		}
-		sleep(ctx, rowReadInterval)
+		sleep(ctx, h.rowReadInterval(former))
 		return false
 	}
 	if h.canTakeOver(row, former, confirmedGone) && !h.isLeaving() && !h.recentlyYielded() && h.Config() != nil {
@@ -274,10 +273,16 @@
 			return true
 		}
 	}
-	sleep(ctx, rowReadInterval)
+	sleep(ctx, h.rowReadInterval(former))
 	return false
 }
 
+// rowReadInterval returns the time between two reads of the owner's row by this instance. Instances
+// far down in the takeover order read less often: together they would load the store.
+func (h *Host) rowReadInterval(former string) time.Duration {
+	return min(maxRowReadInterval, minRowReadInterval+time.Duration(h.candidateRank(former))*rowReadIntervalStep)
+}
+
 func (h *Host) readOwner(ctx context.Context) (*ledger.OwnerRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, rowReadTimeout)
 	defer cancel()
@@ -312,7 +317,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, yieldCheckInterval)
 		h.mu.Lock()
-		followers := h.liveFollowers()
+		followers := h.liveFollowers().followers
 		shouldYield := len(followers) > 0 && float64(followers[0].weight) > yieldFactor*float64(h.Weight) && h.Weight < h.SufficientWeight
 		if shouldYield {
 			h.yieldedAt = time.Now()
@@ -385,12 +390,15 @@
 func (h *Host) serveTerm(ctx context.Context, previous *ledger.OwnerRow) {
 	h.mu.Lock()
 	h.followers = make(map[string]*follower)
+	h.live = liveList{}
 	leaveRequested := h.leaveRequested
 	h.mu.Unlock()
 	d := h.NewDriver()
 	d.Config = h.Config
 	d.Advisers = h.advisers
 	d.RequestAdvice = h.requestAdvice
+	sender := h.newSender()
+	d.Start, d.Stop, d.Throttle, d.Poll = sender.Start, sender.Stop, sender.Throttle, sender.Poll
 	d.Init()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -409,6 +417,7 @@
 	d.OnTakeover = func(epoch int64) { h.announce(ctx, epoch) }
 	go h.refreshOwnHealth(ctx)
 	go h.yieldToLarger(ctx, cancel)
+	go sender.Run(ctx)
 	err := d.Run(ctx, previous)
 	noFollowers := len(h.relayAddresses()) == 0
 	h.driver.Store(nil)
