internal/cell: decisions cost less where the fleet is large or full

Cause: in a burst on the large fleet each waiting step looked for room among all 1,100 executors every 20 ms, every pass of the loop listed all executors, and every commit acknowledged all of them; the loop then starved the renewal of its own row (commits of 919 ms) and ownership was lost. Change: steps look for room only among executors that have some, steps far back in the order look less often, passes handle only new executors, commits only those with ended runs to acknowledge. At most 64 followers are used as advisers, since each costs a connection.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -38,6 +38,13 @@
 	// adviceRecheckInterval limits the processor time spent on steps for which no call would help.
 	adviceRecheckInterval = 20 * time.Millisecond
 
+	// adviceRecheckSteps is the number of steps in scheduling order after which the interval grows.
+	adviceRecheckSteps = 16
+
+	// roomyInterval is how long a list of executors with room is used, for each executor of the fleet,
+	// since the time that it takes to make the list grows with the fleet.
+	roomyInterval = 5 * time.Microsecond
+
 	// initialAllowedShare is the share of executors assumed to be allowed before the first
 	// response.
 	initialAllowedShare = 0.5
@@ -70,7 +77,7 @@
 // NextAdviceRequest returns the most urgent call to the policy service, or nil if none is needed.
 // With fastOnly it returns only calls that are not slow.
 func (c *Core) NextAdviceRequest(now time.Time, fastOnly bool) *AdviceRequest {
-	for _, st := range c.runnable {
+	for i, st := range c.runnable {
 		if st.adviceInFlight || st.queue.Advice == nil || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
@@ -91,17 +98,40 @@
 			c.Stats.AdviceAsked += int64(len(req.Executors))
 			return req
 		}
-		st.nextAdviceAt = now.Add(adviceRecheckInterval)
+		// Steps far back in the order find room only when those before them do not need it.
+		st.nextAdviceAt = now.Add(adviceRecheckInterval * time.Duration(1+i/adviceRecheckSteps))
 	}
 	return nil
 }
 
+// roomyExecutors returns the executors that may start tasks and have room for the smallest pending
+// task, which is no larger than those of st. The list can be a few milliseconds old: on a full fleet it is short, and looking for room for
+// every pending step among all executors would take most of the processor.
+func (c *Core) roomyExecutors(now time.Time, st *stepState) []*executor {
+	smallest := st.spec.Reserved().CPUMillis
+	if !c.roomyAt.IsZero() && now.Sub(c.roomyAt) < roomyInterval*time.Duration(len(c.sortedExecutors)) && smallest >= c.roomyFor {
+		return c.roomy
+	}
+	for _, st := range c.runnable {
+		if len(st.pending) > 0 {
+			smallest = min(smallest, st.spec.Reserved().CPUMillis)
+		}
+	}
+	c.roomy, c.roomyAt, c.roomyFor = nil, now, smallest
+	for _, ex := range c.sortedExecutors {
+		if free, _ := c.allocator.Free(ex.ID); free.CPUMillis >= smallest && c.canStart(now, ex) {
+			c.roomy = append(c.roomy, ex)
+		}
+	}
+	return c.roomy
+}
+
 // newAdviceRequest selects the executors to ask for; nil means that a call would not help.
 func (c *Core) newAdviceRequest(now time.Time, st *stepState) *AdviceRequest {
 	renewBefore := now.Add(ticketMargin + st.queue.Advice.LatencyPerExecutor*usualAdviceExecutors + st.queue.Advice.BaseLatency)
 	placeable := 0
 	var options []option
-	for _, ex := range c.sortedExecutors {
+	for _, ex := range c.roomyExecutors(now, st) {
 		id := ex.ID
 		if !c.isEligible(now, st, ex) {
 			continue
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -1,7 +1,7 @@
 package cell
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -16,12 +16,20 @@
 
 	fullCPUPercent = 100
 
+	// runKeySuffix is about the length of the numbers in the key of a run.
+	runKeySuffix = 24
+
 	// rejectionBackoff is how long an executor that rejected a start gets no new tasks.
 	rejectionBackoff = 500 * time.Millisecond
 )
 
 func runKey(t fleet.TaskID, number int64) string {
-	return fmt.Sprintf("%s.%d.%d.%d#%d", t.Job, t.Occurrence, t.Step, t.Index, number)
+	b := make([]byte, 0, len(t.Job)+runKeySuffix)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(strconv.AppendInt(append(b, '#'), number, 10))
 }
 
 func stepOf(t fleet.TaskID) fleet.StepID {
@@ -72,10 +80,18 @@
 			c.Log.WithField("executor", r.ex.ID).WithField("run", r.key).WithError(err).Warn("adopted run exceeds the capacity of its executor")
 		}
 	}
-	c.grantedCPU[r.job.priority] += need.CPUMillis
+	c.addGrantedCPU(r.job, need.CPUMillis)
 	r.step.runsOn[r.ex.ID]++
 }
 
+func (c *Core) addGrantedCPU(j *job, millis int64) {
+	if j.priority == 0 {
+		c.urgentCPU += millis
+	} else {
+		c.otherCPU += millis
+	}
+}
+
 // detach is the inverse of attach.
 func (c *Core) detach(r *run) {
 	if r.ex.runs[r.key] != r {
@@ -84,7 +100,7 @@
 	delete(r.ex.runs, r.key)
 	c.allocator.Release(r.key)
 	c.markFreed(r.ex)
-	c.grantedCPU[r.job.priority] -= r.spec().Reserved().CPUMillis
+	c.addGrantedCPU(r.job, -r.spec().Reserved().CPUMillis)
 	r.step.runsOn[r.ex.ID]--
 	runs := r.job.runs[r.task]
 	for i := range runs {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -53,6 +53,14 @@
 	executors map[string]*executor
 	// sortedExecutors holds the same executors sorted by ID, which makes decisions deterministic.
 	sortedExecutors []*executor
+	// newExecutors are the IDs of executors that were added and not yet taken by TakeNewExecutors.
+	newExecutors []string
+	// unacked holds the executors with ended runs that are applied and not acknowledged.
+	unacked map[string]*executor
+	// roomy holds the executors that had roomyFor millicores free at roomyAt.
+	roomy    []*executor
+	roomyAt  time.Time
+	roomyFor int64
 	allocator       place.Cell
 
 	// runnable holds the steps with pending tasks, in scheduling order.
@@ -92,7 +100,8 @@
 	writes        pendingWrites
 	pendingJobs   map[string]int64
 	allowedShares map[string]*allowedShare
-	grantedCPU    map[int]int64 // by priority, in millicores
+	// urgentCPU and otherCPU are the CPU reserved by runs of urgent and of other queues, in millicores.
+	urgentCPU, otherCPU int64
 	Stats         Counters
 }
 
@@ -243,7 +252,7 @@
 	c.blocked = make(map[string][]*stepState)
 	c.pendingJobs = make(map[string]int64)
 	c.allowedShares = make(map[string]*allowedShare)
-	c.grantedCPU = make(map[int]int64)
+	c.unacked = make(map[string]*executor)
 	c.writes.prepare()
 }
 
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -253,11 +253,16 @@
 	}
 	d.startAdviceRequests(ctx, now)
 	d.commit(ctx, now)
-	for _, id := range d.core.ExecutorIDs() {
+	for _, id := range d.core.TakeNewExecutors() {
 		if !d.polling[id] {
 			d.polling[id] = true
 			go d.pollExecutor(ctx, id, false)
 		}
+	}
+	if !d.core.LosingResponses() {
+		return
+	}
+	for _, id := range d.core.ExecutorIDs() {
 		if !d.pollingTwice[id] && d.core.NeedsSecondPoll(id) {
 			d.pollingTwice[id] = true
 			go d.pollExecutor(ctx, id, true)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -122,6 +122,7 @@
 		c.executors[e.ID] = ex
 		i, _ := slices.BinarySearchFunc(c.sortedExecutors, e.ID, func(ex *executor, id string) int { return cmp.Compare(ex.ID, id) })
 		c.sortedExecutors = slices.Insert(c.sortedExecutors, i, ex)
+		c.newExecutors = append(c.newExecutors, e.ID)
 		c.Log.WithField("executor", e.ID).WithField("domain", e.Domain).WithField("rack", e.Rack).
 			WithField("cpu_millis", e.Capacity.CPUMillis).Info("executor added")
 	}
@@ -149,6 +150,13 @@
 	c.Log.WithField("executor", id).WithField("runs", len(ex.runs)).Info("executor removed from the instance list")
 }
 
+// TakeNewExecutors returns the IDs of the executors added since the last call.
+func (c *Core) TakeNewExecutors() []string {
+	ids := c.newExecutors
+	c.newExecutors = nil
+	return ids
+}
+
 // ExecutorIDs returns the IDs of all known executors.
 func (c *Core) ExecutorIDs() []string {
 	ids := make([]string, 0, len(c.sortedExecutors))
@@ -321,6 +329,7 @@
 func (c *Core) dropExecutor(ex *executor) {
 	c.allocator.RemoveWorker(ex.ID)
 	delete(c.executors, ex.ID)
+	delete(c.unacked, ex.ID)
 	c.sortedExecutors = slices.DeleteFunc(slices.Clone(c.sortedExecutors), func(other *executor) bool { return other == ex })
 	c.Log.WithField("executor", ex.ID).Info("executor dropped")
 }
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -133,6 +133,7 @@
 	ex.incarnation, ex.incarnationSince = newIncarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
 	ex.appliedSequence, ex.ackedSequence = 0, 0
+	delete(c.unacked, ex.ID)
 	ex.failures, ex.slowdown = 0, 1
 	for _, r := range ex.sortedRuns() {
 		switch {
@@ -175,6 +176,7 @@
 		return
 	}
 	ex.appliedSequence = e.Sequence
+	c.unacked[ex.ID] = ex
 	c.writes.ackDue = true
 	c.Stats.Ends++
 	r := ex.runs[runKey(e.Task, e.Number)]
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -113,7 +113,7 @@
 	}
 	placeable := 0
 	var options []option
-	for _, ex := range c.sortedExecutors {
+	for _, ex := range c.roomyExecutors(now, st) {
 		if !c.isEligible(now, st, ex) {
 			continue
 		}
--- a/internal/cell/responseloss.go
+++ b/internal/cell/responseloss.go
@@ -53,6 +53,11 @@
 	c.lostResponses, c.losingResponses = 0, false
 }
 
+// LosingResponses reports whether responses of live executors get lost.
+func (c *Core) LosingResponses() bool {
+	return c.losingResponses
+}
+
 // NeedsSecondPoll reports whether two polls of an executor should be in flight, so that one lost
 // response does not delay the news of its ended runs.
 func (c *Core) NeedsSecondPoll(id string) bool {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -44,11 +44,16 @@
 // times of the latency-sensitive tasks beside them.
 func (c *Core) throttleBestEffort(now time.Time, ex *executor) {
 	latencyRatio := 0.0
+	anyBestEffort := false
 	for _, r := range ex.runs {
+		anyBestEffort = anyBestEffort || r.spec().BestEffort
 		if target := r.spec().LatencyTarget; target > 0 && !r.stopping {
 			latencyRatio = max(latencyRatio, r.metric/float64(target.Milliseconds()))
 		}
 	}
+	if !anyBestEffort {
+		return
+	}
 	for _, r := range ex.sortedRuns() {
 		if !r.spec().BestEffort || r.stopping || r.commandPending || r.confirmedAt.IsZero() || now.Sub(r.throttledAt) < throttleInterval {
 			continue
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -340,13 +340,7 @@
 		return true
 	}
 	capacity, _ := c.allocator.Totals()
-	var others int64
-	for priority, granted := range c.grantedCPU {
-		if priority > 0 {
-			others += granted
-		}
-	}
-	return others+st.spec.Reserved().CPUMillis*int64(tasks) <= capacity.CPUMillis-c.urgentReserve(capacity.CPUMillis)
+	return c.otherCPU+st.spec.Reserved().CPUMillis*int64(tasks) <= capacity.CPUMillis-c.urgentReserve(capacity.CPUMillis)
 }
 
 // urgentReserve returns the CPU reserved for urgent work. It protects an ordinary load of urgent
@@ -362,7 +356,7 @@
 		c.urgentPeak *= 1 - peakDecay*min(now.Sub(c.peakUpdatedAt).Seconds(), 1)
 	}
 	c.peakUpdatedAt = now
-	c.urgentPeak = max(c.urgentPeak, float64(c.grantedCPU[0]))
+	c.urgentPeak = max(c.urgentPeak, float64(c.urgentCPU))
 }
 
 // candidates returns the executors that may run the step now.
--- a/internal/cell/writes.go
+++ b/internal/cell/writes.go
@@ -208,7 +208,7 @@
 func (c *Core) addAcks(b *Batch) {
 	b.ackedSequences = make(map[string]int64)
 	b.incarnations = make(map[string]int64)
-	for id, ex := range c.executors {
+	for id, ex := range c.unacked {
 		b.ackedSequences[id] = ex.appliedSequence
 		b.incarnations[id] = ex.incarnation
 	}
@@ -299,6 +299,9 @@
 	for id, seq := range b.ackedSequences {
 		if ex := c.executors[id]; ex != nil && ex.incarnation == b.incarnations[id] {
 			ex.ackedSequence = max(ex.ackedSequence, seq)
+			if ex.ackedSequence == ex.appliedSequence {
+				delete(c.unacked, id)
+			}
 		}
 	}
 }
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -309,12 +309,17 @@
 	return &h.live
 }
 
+// maxAdvisers limits the advisers. Each serves one call at a time, and a connection to each costs
+// processor time even without calls.
+const maxAdvisers = 64
+
 // advisers returns the addresses of the advisers, the instances through which the policy service can
-// be called: the live followers and this instance.
+// be called: the largest live followers and this instance.
 func (h *Host) advisers() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append(slices.Clone(h.liveFollowers().addresses), h.Address)
+	followers := h.liveFollowers().addresses
+	return append(slices.Clone(followers[:min(len(followers), maxAdvisers)]), h.Address)
 }
 
 // requestAdvice makes one call to the policy service through the instance at address adviser.
