internal/cell: a new owner restarts a gang of which only a part was started

An owner was lost between the starts of a gang; its successor adopted the tasks that ran and neither started the others, whose number is fixed by the gang, nor stopped these, which then ended alone after 5 s. Change: a gang with pending tasks stops its live runs and starts again as a whole. Measured: TestNewOwnerRestartsPartOfGang fails before and passes after.

--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -145,3 +145,34 @@
 	assert.Equal(t, o.core.State("a").State, flow.Completed)
 	sim.expectNoViolations()
 }
+
+// An owner can be lost after it has started some tasks of a gang. Its successor must stop these at
+// once: they would wait in vain for the others, and the gang would not start again before they end.
+func TestNewOwnerRestartsPartOfGang(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.failureShare = 0
+	o := sim.takeOver()
+	sim.advance(time.Second)
+	spec := singleStep(testQueue, 8, time.Second)
+	spec.Steps[0].Gang = true
+	cut := sim.sortedExecutors()[0]
+	o.unreachable[cut.ID] = true
+	sim.submit(o, "a", spec)
+	for len(sim.history) == 0 {
+		sim.advance(time.Millisecond)
+	}
+	sim.advance(5 * time.Millisecond)
+	o.dead = true
+	assert.Assert(t, len(sim.history) < 8, "all tasks were started")
+	next := sim.takeOver()
+	const gangTimeout = 5 * time.Second
+	sim.advance(gangTimeout)
+	assert.Equal(t, next.core.State("a").State, flow.Completed)
+	for task, spans := range sim.history {
+		first := spans[0]
+		if first.number < 1000 {
+			assert.Equal(t, first.kind, fleet.Stopped, "run %d of %v", first.number, task)
+		}
+	}
+	sim.expectNoViolations()
+}
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -254,6 +254,13 @@
 }
 
 func (c *Core) startTasks(now time.Time, st *stepState, freed []*executor) {
+	if live := st.liveRuns(); st.spec.Gang && len(live) > 0 {
+		// The owner that started these did not start the others, or some have ended.
+		for _, r := range live {
+			c.stopRun(now, r, "gang is incomplete")
+		}
+		return
+	}
 	if !c.leavesReserve(st, 1) {
 		st.fullScan = true
 		return
@@ -298,9 +305,6 @@
 	if len(st.pending) < st.spec.Count || !c.leavesReserve(st, st.spec.Count) {
 		return
 	}
-	if len(st.liveRuns()) > 0 {
-		return
-	}
 	number := int64(0)
 	for _, index := range st.pending {
 		number = max(number, c.nextRunNumber(st.job, c.taskOf(st, index)))
