internal/host: the return of the store is noticed sooner beside a cut domain

Candidates asked the instances of the cut domain for the owner one after another, 300 ms each, called the silent owner for 500 ms each time, and waited for the ranks of candidates that are cut off. Change: all candidates are asked at the same time, a silent owner gets 150 ms when it is called again, and candidates that do not respond to probes do not count in the rank.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -37,6 +37,10 @@
 	// yieldCooldown is how long an instance that yielded the cell does not take it over again.
 	yieldCooldown = 2 * time.Second
 
+	// ownerRetryTimeout is how long a former owner that did not respond may take to respond when it is
+	// called again. In the meantime the row is not read.
+	ownerRetryTimeout = 150 * time.Millisecond
+
 	// contendTimeout is how long an instance contends for the cell before it calls the former owner
 	// again.
 	contendTimeout = 600 * time.Millisecond
@@ -48,17 +52,30 @@
 	// still owns the cell; a response takes a few milliseconds.
 	holderProbeTimeout = 80 * time.Millisecond
 
+	// maxPeerProbes limits the candidates that are asked for the owner at a time.
+	maxPeerProbes = 16
+
 	// peerProbeTimeout is the timeout of a call that asks another instance for the owner.
 	peerProbeTimeout = 300 * time.Millisecond
 )
 
 // Run follows the owner of the cell, and takes the cell over when the owner fails, until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
+	silent := "" // the last owner that did not respond
 	for ctx.Err() == nil {
 		owner, _, _ := h.currentOwner()
 		confirmedGone := false
 		if owner != "" && owner != h.Address {
-			confirmedGone = h.follow(ctx, owner)
+			timeout := ownerTimeout
+			if owner == silent {
+				timeout = ownerRetryTimeout
+			}
+			var responded bool
+			confirmedGone, responded = h.follow(ctx, owner, timeout)
+			silent = owner
+			if responded {
+				silent = ""
+			}
 		}
 		// Calls to a failed instance block until they time out. The former owner is therefore
 		// called again only when its row is renewed or no other owner appears for contendTimeout.
@@ -72,46 +89,48 @@
 }
 
 // follow follows the owner until it no longer responds or is no longer the owner. It reports whether
-// the owner is known to be gone: it has resigned or its process does not run.
-func (h *Host) follow(ctx context.Context, owner string) (confirmedGone bool) {
+// the owner is known to be gone: it has resigned or its process does not run. The first reply must
+// arrive within timeout, and responded is false if it did not.
+func (h *Host) follow(ctx context.Context, owner string, timeout time.Duration) (confirmedGone, responded bool) {
 	ctx, cancel := h.untilOwnerChanges(ctx, owner)
 	defer cancel()
-	f := &followStream{host: h, owner: owner}
+	f := &followStream{host: h, owner: owner, timeout: timeout}
 	defer f.close()
 	last := time.Now()
 	for ctx.Err() == nil {
 		reply, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
-			return false
+			return false, responded
 		case err == nil && reply.GetEpoch() > 0 && !reply.GetResigned():
 			last = time.Now()
+			timeout, f.timeout, responded = ownerTimeout, ownerTimeout, true
 			h.applyFollowReply(owner, reply)
 			continue
 		case err == nil && reply.GetOwnerAddress() != "" && reply.GetOwnerAddress() != owner && !reply.GetResigned():
 			h.setOwner(reply.GetOwnerAddress(), 0)
-			return false
+			return false, true
 		case err == nil:
 			if h.shouldLog(owner + " resigned") {
 				h.Log.WithField("owner", owner).WithField("resigned", reply.GetResigned()).Info("former owner no longer owns the cell")
 			}
-			return true
+			return true, true
 		case connectionRefused(err):
 			if h.shouldLog(owner + " gone") {
 				h.Log.WithField("owner", owner).WithError(err).Info("owner refuses connections; its process is gone")
 			}
-			return true
+			return true, responded
 		}
-		if ctx.Err() == nil && time.Since(last) >= ownerTimeout {
+		if ctx.Err() == nil && time.Since(last) >= timeout {
 			h.Log.WithField("owner", owner).WithField("silent_ms", time.Since(last).Milliseconds()).
 				WithError(err).Warn("owner does not respond")
 			h.peerClient.Disconnect(owner)
 			h.followClient.Disconnect(owner)
-			return false
+			return false, responded
 		}
 		sleep(ctx, followRetryInterval)
 	}
-	return false
+	return false, responded
 }
 
 // otherOwnerKnown reports whether the known owner is neither the former owner nor this instance.
@@ -340,7 +359,8 @@
 }
 
 // candidateRank returns the position of this instance in the takeover order, without the former
-// owner.
+// owner and those that do not respond to probes. They would only delay the takeover, and two
+// candidates that cannot reach each other are told apart by the store.
 func (h *Host) candidateRank(former string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -349,7 +369,7 @@
 		if a == h.Address {
 			return rank
 		}
-		if a != former {
+		if a != former && h.unreachableSince[a].IsZero() {
 			rank++
 		}
 	}
@@ -362,30 +382,52 @@
 	return h.leaving
 }
 
-// findOwnerThroughPeers asks other instances for the owner while the store is unreachable.
+// findOwnerThroughPeers asks other instances for the owner while the store is unreachable. It asks all
+// of them at the same time, since those that are cut off do not respond.
 func (h *Host) findOwnerThroughPeers(ctx context.Context, former string) {
 	h.mu.Lock()
-	addresses := slices.Concat(h.candidates, h.Seeds)
+	addresses := slices.Concat(h.candidates[:min(len(h.candidates), maxPeerProbes)], h.Seeds)
 	h.mu.Unlock()
+	slices.Sort(addresses)
+	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == h.Address || a == former })
+	replies := make(chan peerReply, len(addresses))
 	for _, a := range addresses {
-		if a == h.Address || a == former {
-			continue
-		}
-		reply, _, err := h.callFollow(ctx, a, peerProbeTimeout, true)
-		if err != nil {
-			continue
-		}
+		go func() {
+			reply, _, err := h.callFollow(ctx, a, peerProbeTimeout, true)
+			h.recordProbe(a, err == nil)
+			replies <- peerReply{a, reply}
+		}()
+	}
+	for range addresses {
+		r := <-replies
 		switch {
-		case reply.GetEpoch() > 0:
-			h.applyFollowReply(a, reply)
+		case r.reply.GetEpoch() > 0:
+			h.applyFollowReply(r.address, r.reply)
 			return
-		case reply.GetOwnerAddress() != "" && reply.GetOwnerAddress() != former:
-			h.setOwner(reply.GetOwnerAddress(), 0)
+		case r.reply.GetOwnerAddress() != "" && r.reply.GetOwnerAddress() != former:
+			h.setOwner(r.reply.GetOwnerAddress(), 0)
 			return
 		}
 	}
 }
 
+// peerReply is the reply of another instance to a probe; reply is nil if it did not respond.
+type peerReply struct {
+	address string
+	reply   *wire.FollowReply
+}
+
+// recordProbe records whether another instance responded to a probe.
+func (h *Host) recordProbe(address string, responded bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if responded {
+		delete(h.unreachableSince, address)
+	} else if h.unreachableSince[address].IsZero() {
+		h.unreachableSince[address] = time.Now()
+	}
+}
+
 // serveTerm takes the cell over and runs it until this instance loses or gives up ownership.
 func (h *Host) serveTerm(ctx context.Context, previous *ledger.OwnerRow) {
 	h.mu.Lock()
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -27,6 +27,8 @@
 type followStream struct {
 	host  *Host
 	owner string
+	// timeout limits the wait for a reply.
+	timeout time.Duration
 
 	stream     *peer.Stream
 	stop       func() bool
@@ -34,7 +36,7 @@
 	reported   *wire.Follow
 }
 
-// next returns the owner's next reply; it fails if none arrives within ownerTimeout.
+// next returns the owner's next reply; it fails if none arrives within the timeout.
 func (f *followStream) next(ctx context.Context) (*wire.FollowReply, error) {
 	if f.stream == nil {
 		if err := f.open(ctx); err != nil {
@@ -45,7 +47,7 @@
 		return nil, err
 	}
 	var res wire.Response
-	if err := f.stream.Receive(&res, ownerTimeout); err != nil {
+	if err := f.stream.Receive(&res, f.timeout); err != nil {
 		f.close()
 		return nil, err
 	}
@@ -57,7 +59,7 @@
 }
 
 func (f *followStream) open(ctx context.Context) error {
-	openCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	openCtx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
 	req := f.host.followRequest(false, true)
 	stream, err := f.host.followClient.Open(openCtx, f.owner, &wire.Request{Body: &wire.Request_Follow{Follow: req}})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -115,6 +115,9 @@
 	candidatesHash uint64
 	// queueLengths are the numbers of waiting jobs that the owner last reported.
 	queueLengths map[string]int64
+	// unreachableSince holds, by address, since when other instances do not respond to probes. It is
+	// cleared when an owner is found.
+	unreachableSince map[string]time.Time
 	// followers are the instances that have called this one in its current term as owner.
 	followers map[string]*follower
 	// live is the last list of the live ones among them.
@@ -143,6 +146,7 @@
 	h.ownerChanged = make(chan struct{})
 	h.leaveRequested = make(chan struct{})
 	h.followers = make(map[string]*follower)
+	h.unreachableSince = make(map[string]time.Time)
 	h.queueLengths = make(map[string]int64)
 	h.peerClient.MaxInFlight = maxCallsInFlight
 	h.lastResponse = time.Now()
@@ -204,6 +208,7 @@
 	h.ownerAddress, h.ownerEpoch = address, epoch
 	if address != "" {
 		h.lastResponse = time.Now()
+		clear(h.unreachableSince)
 	}
 	close(h.ownerChanged)
 	h.ownerChanged = make(chan struct{})
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -236,3 +236,32 @@
 	case <-time.After(d):
 	}
 }
+
+// While the store is down, an instance whose owner is cut off together with the first candidates must
+// notice the store's return soon: it must not wait for one unresponsive candidate after the other.
+func TestReadsStoreOftenBesideUnresponsiveCandidates(t *testing.T) {
+	owner, r, _ := startFollower(t)
+	var cutOff []string
+	for range 4 {
+		p := startPeer(t, nil)
+		p.unresponsive = true
+		cutOff = append(cutOff, p.address)
+	}
+	owner.mu.Lock()
+	owner.reply = &wire.FollowReply{Epoch: 3, ConfigVersion: 1, Followers: cutOff}
+	seen := owner.follows
+	owner.mu.Unlock()
+	waitFor(t, "the list of candidates", func() bool { return owner.count() > seen+1 })
+	r.mu.Lock()
+	r.unavailable = true
+	r.mu.Unlock()
+	owner.mu.Lock()
+	owner.unresponsive = true
+	owner.mu.Unlock()
+	before := r.count()
+	waitFor(t, "the first read of the row", func() bool { return r.count() > before })
+	const reads, limit = 4, 600 * time.Millisecond
+	start, first := time.Now(), r.count()
+	waitFor(t, "further reads", func() bool { return r.count() >= first+reads })
+	assert.Assert(t, time.Since(start) < reads*limit, "%d reads took %s", reads, time.Since(start))
+}
