internal/cell: cheaper choice of executors to ask the policy service for

Cause: with 1,100 executors each advice request checks state and lease of all that have room and sorts them through reflection; in a burst that is most of the owner's processor. Change: the list of executors with room is trusted for its few milliseconds, the options are sorted without reflection, only gangs look for live runs.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -1,8 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -133,7 +134,7 @@
 	var options []option
 	for _, ex := range c.roomyExecutors(now, st) {
 		id := ex.ID
-		if !c.isEligible(now, st, ex) {
+		if !st.matches(ex) {
 			continue
 		}
 		fits := c.fits(st, ex)
@@ -202,18 +203,18 @@
 // already fit on allowed executors; share is the fraction of the other executors expected to be
 // allowed.
 func chooseExecutors(options []option, placeable, need int, share float64, limit int) []*executor {
-	sort.Slice(options, func(i, k int) bool {
-		a, b := options[i], options[k]
-		if a.allowed != b.allowed {
-			return a.allowed
+	slices.SortFunc(options, func(a, b option) int {
+		switch {
+		case a.allowed != b.allowed && a.allowed:
+			return -1
+		case a.allowed != b.allowed:
+			return 1
+		case a.penalty != b.penalty:
+			return cmp.Compare(a.penalty, b.penalty)
+		case a.fits != b.fits:
+			return b.fits - a.fits
 		}
-		if a.penalty != b.penalty {
-			return a.penalty < b.penalty
-		}
-		if a.fits != b.fits {
-			return a.fits > b.fits
-		}
-		return a.ex.ID < b.ex.ID
+		return cmp.Compare(a.ex.ID, b.ex.ID)
 	})
 	var chosen []*executor
 	expected := float64(placeable)
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -156,7 +156,7 @@
 		}
 		sim.schedule(6*time.Second, func() {
 			for _, l := range heavyLoad(largestFleetSize) {
-				l.rate *= 0.7
+				l.rate *= 1.8
 				sim.submitLoad(o, l, 4*time.Second)
 			}
 		})
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -254,11 +254,7 @@
 }
 
 func (c *Core) startTasks(now time.Time, st *stepState, freed []*executor) {
-	if live := st.liveRuns(); st.spec.Gang && len(live) > 0 {
-		// The owner that started these did not start the others, or some have ended.
-		for _, r := range live {
-			c.stopRun(now, r, "gang is incomplete")
-		}
+	if st.spec.Gang && c.stopPartOfGang(now, st) {
 		return
 	}
 	if !c.leavesReserve(st, 1) {
@@ -300,6 +296,16 @@
 	return fleet.TaskID{Job: st.job.ID, Occurrence: st.stepID.Occurrence, Step: st.stepID.Step, Index: index}
 }
 
+// stopPartOfGang stops the runs of a gang that has pending tasks as well: the owner that started them
+// did not start the others, or some have ended. It reports whether there are any.
+func (c *Core) stopPartOfGang(now time.Time, st *stepState) bool {
+	live := st.liveRuns()
+	for _, r := range live {
+		c.stopRun(now, r, "gang is incomplete")
+	}
+	return len(live) > 0
+}
+
 // startGang starts all tasks of a gang or none.
 func (c *Core) startGang(now time.Time, st *stepState, candidates []place.Candidate) {
 	if len(st.pending) < st.spec.Count || !c.leavesReserve(st, st.spec.Count) {
@@ -401,7 +407,12 @@
 
 // isEligible reports whether the executor may run tasks of the step, regardless of free capacity.
 func (c *Core) isEligible(now time.Time, st *stepState, ex *executor) bool {
-	if !c.canStart(now, ex) || ex.Service != st.queue.Service || !ex.HasLabel(st.spec.RequiredLabel) {
+	return c.canStart(now, ex) && st.matches(ex)
+}
+
+// matches reports whether the executor suits the step, regardless of its state and free capacity.
+func (st *stepState) matches(ex *executor) bool {
+	if ex.Service != st.queue.Service || !ex.HasLabel(st.spec.RequiredLabel) {
 		return false
 	}
 	return st.spec.MaxPerExecutor == 0 || st.runsOn[ex.ID] < st.spec.MaxPerExecutor
