internal/relay: batches follow the owner's capacity, late responses are used

Change: the batches of all relays together take about a tenth of the owner's processor; a relay has failed only when most of its calls have no result, and its calls go to other relays first; commands get the time that the batches add; a poll's late response is applied.

--- a/internal/cell/dispatch.go
+++ b/internal/cell/dispatch.go
@@ -51,6 +51,9 @@
 	if d.overloaded.Load() {
 		timeout = maxCommandTimeout // retries would only add to the load of this instance
 	}
+	if d.RelayDelay != nil {
+		timeout += d.RelayDelay()
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	switch {
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -76,6 +76,10 @@
 	Throttle func(ctx context.Context, e fleet.Executor, cmd fleet.Throttle) fleet.Response
 	Poll     func(ctx context.Context, e fleet.Executor, cmd fleet.Poll) fleet.Response
 
+	// RelayDelay returns how much longer a command can take because another instance makes the call. It
+	// may be nil.
+	RelayDelay func() time.Duration
+
 	// List reads the instance list and its version. Watch waits for changes after a version.
 	List  func(ctx context.Context) ([]fleet.Executor, int64, error)
 	Watch func(ctx context.Context, after int64) ([]Change, int64, error)
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// ApplyLatePoll applies the response to a poll that was sent at the given time and was given up since.
+func (d *Driver) ApplyLatePoll(id string, sent time.Time, resp fleet.Response) {
+	d.post(func(now time.Time) { d.core.ApplyPollResponse(now, sent, id, resp) })
+}
+
 // wait waits for ready; it returns false if done is closed or ctx ends first.
 func wait(ctx context.Context, done, ready <-chan struct{}) bool {
 	select {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// minBatchInterval is the minimum time between two batches on one stream in one direction. It
-	// limits the processor time spent on messages, at the price of a short delay.
-	minBatchInterval = 8 * time.Millisecond
-
 	// sendTimeout is how long a batch may wait for room on its connection.
 	sendTimeout = 500 * time.Millisecond
 
@@ -29,11 +25,14 @@
 	// because then this instance is too slow to tell.
 	checkInterval = 50 * time.Millisecond
 
-	// replyMargin is the part of a call's time that is left for the way of its result.
-	replyMargin = 40 * time.Millisecond
+	// replyMargin is the part of a call's time that is left for the way of its result, besides the
+	// intervals between batches.
+	replyMargin = 20 * time.Millisecond
 
 	// maxTimeouts is the number of calls without a result from the relay within timeoutWindow from
-	// which the relay counts as failed. A relay that works reports an executor's silence in time.
+	// which the relay counts as failed, if they are most of its calls. A relay that works reports an
+	// executor's silence in time; one that is merely slow still returns results, and the calls would
+	// not be faster elsewhere.
 	maxTimeouts   = 8
 	timeoutWindow = time.Second
 )
@@ -45,6 +44,8 @@
 type link struct {
 	address string
 	domain  string
+	// interval is the minimum time between two batches.
+	interval time.Duration
 
 	// up is set while the stream is open.
 	up atomic.Bool
@@ -59,8 +60,9 @@
 	queue  []*pendingCall
 	// sent holds the calls that were sent and have no result yet.
 	sent map[int64]*pendingCall
-	// timeouts counts the calls without a result since timeoutsSince.
+	// timeouts counts the calls without a result since timeoutsSince, and results those with one.
 	timeouts      int
+	results       int
 	texts         textWindow
 	timeoutsSince time.Time
 }
@@ -71,11 +73,15 @@
 	text   string
 	result chan *wire.RelayResult
 	sent   bool
+	// late takes the result of a poll that is no longer waited for; nil for other calls.
+	late func(fleet.Response)
+	// abandoned is set when the caller no longer waits.
+	abandoned bool
 }
 
-func newLink(c Candidate) *link {
+func newLink(c Candidate, interval time.Duration) *link {
 	return &link{
-		address: c.Address, domain: c.Domain, wake: make(chan struct{}, 1), failed: make(chan struct{}),
+		address: c.Address, domain: c.Domain, interval: interval, wake: make(chan struct{}, 1), failed: make(chan struct{}),
 		sent: make(map[int64]*pendingCall),
 	}
 }
@@ -121,14 +127,25 @@
 			return err
 		}
 		l.lastReceived.Store(time.Now().UnixNano())
-		l.mu.Lock()
 		for _, r := range batch.GetResults() {
-			if p := l.sent[r.GetId()]; p != nil {
-				delete(l.sent, r.GetId())
-				p.result <- r
-			}
+			l.deliver(r)
 		}
-		l.mu.Unlock()
+	}
+}
+
+// deliver hands a result to its caller, or, if a poll is no longer waited for, to its late function.
+func (l *link) deliver(r *wire.RelayResult) {
+	l.mu.Lock()
+	p := l.sent[r.GetId()]
+	delete(l.sent, r.GetId())
+	late := p != nil && p.abandoned
+	if p != nil && !late {
+		l.results++
+		p.result <- r
+	}
+	l.mu.Unlock()
+	if late {
+		p.late(decodeResponse(r))
 	}
 }
 
@@ -145,7 +162,7 @@
 				return err
 			}
 		}
-		pause(ctx, minBatchInterval)
+		pause(ctx, l.interval)
 	}
 }
 
@@ -181,9 +198,9 @@
 const maxBatchBytes = 1 << 20
 
 // call makes one call through the relay. If it returns an error, sent reports whether the relay may
-// have received the call.
-func (l *link) call(ctx context.Context, call *wire.RelayCall, text string) (resp fleet.Response, sent bool, err error) {
-	p := &pendingCall{call: call, text: text, result: make(chan *wire.RelayResult, 1)}
+// have received the call, and late, unless it is nil, takes the response if it still arrives.
+func (l *link) call(ctx context.Context, call *wire.RelayCall, text string, late func(fleet.Response)) (resp fleet.Response, sent bool, err error) {
+	p := &pendingCall{call: call, text: text, result: make(chan *wire.RelayResult, 1), late: late}
 	l.mu.Lock()
 	l.nextID++
 	call.Id = l.nextID
@@ -205,7 +222,11 @@
 func (l *link) abandon(p *pendingCall, timedOut bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.sent, p.call.Id)
+	if p.late != nil {
+		p.abandoned = true
+	} else {
+		delete(l.sent, p.call.Id)
+	}
 	for i := range l.queue {
 		if l.queue[i] == p {
 			l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
@@ -222,11 +243,10 @@
 func (l *link) tooManyTimeouts(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timeouts >= maxTimeouts {
-		return true
-	}
-	if now.Sub(l.timeoutsSince) > timeoutWindow {
-		l.timeouts, l.timeoutsSince = 0, now
+	if now.Sub(l.timeoutsSince) < timeoutWindow {
+		return false
 	}
-	return false
+	failed := l.timeouts >= maxTimeouts && l.timeouts > l.results
+	l.timeouts, l.results, l.timeoutsSince = 0, 0, now
+	return failed
 }
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -15,7 +15,7 @@
 	directExecutors = 60
 
 	// executorsPerRelay is the number of executors for which one relay is used.
-	executorsPerRelay = 20
+	executorsPerRelay = 40
 
 	// maxRelays limits the relays, since the owner spends processor time on the batches of each.
 	maxRelays = 20
@@ -24,6 +24,15 @@
 	// Smaller instances have little to spare beside their own requests.
 	minRelayShare = 0.5
 
+	// batchesPerCore is the number of batches a second and direction, over all relays, for each core of
+	// the owner. At 40 us for a batch they take a tenth of its processor.
+	batchesPerCore = 1200
+
+	// minBatchInterval and maxBatchInterval limit the time between two batches on one stream in one
+	// direction, by which calls and results are delayed.
+	minBatchInterval = 5 * time.Millisecond
+	maxBatchInterval = 40 * time.Millisecond
+
 	// seenWindow is how long an executor counts after its last poll; idle ones are polled every 2 s.
 	seenWindow = 6 * time.Second
 )
@@ -75,6 +84,16 @@
 	return chosen
 }
 
+// batchInterval returns the time between two batches to or from one relay for an owner with a number
+// of relays and a capacity in thousandths of a core.
+func batchInterval(relays int, weight int64) time.Duration {
+	if weight <= 0 {
+		return maxBatchInterval
+	}
+	perBatch := time.Duration(float64(time.Second) / (batchesPerCore * float64(weight) / 1000))
+	return min(max(minBatchInterval, time.Duration(relays)*perBatch), maxBatchInterval)
+}
+
 // chooseLink returns the link for an executor: one in its failure domain if there is any, so that a
 // cut between domains breaks as few calls as possible, else any. Each link gets about as many
 // executors, and the loss of one link moves only its own.
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -31,10 +31,16 @@
 type Sender struct {
 	Owner string
 	Log   log.Interface
+	// Weight is the capacity of the owner in thousandths of a core.
+	Weight int64
 
 	// Executors makes calls directly.
 	Executors fleet.Caller
 
+	// LatePoll takes the response to a poll that arrives after the deadline of the call. An executor
+	// whose responses are merely late must not be taken for one that does not respond.
+	LatePoll func(id string, sent time.Time, resp fleet.Response)
+
 	// Candidates returns the instances that could be relays, those with the most capacity first.
 	Candidates func() []Candidate
 
@@ -95,20 +101,20 @@
 	if l == nil {
 		return direct()
 	}
-	prepare(ctx, e, call)
-	resp, sent, err := l.call(ctx, call, text)
+	l.prepare(ctx, e, call)
+	resp, sent, err := l.call(ctx, call, text, nil)
 	switch {
 	case err == nil:
 		return resp
 	case !sent && ctx.Err() == nil:
-		return direct()
+		return s.command(ctx, e, call, text, direct)
 	}
 	return fleet.Response{Status: fleet.NoResponse, Cause: err.Error()}
 }
 
 // Poll renews the lease of an executor and requests the list of its runs and ended runs. If the relay
-// fails, the poll is repeated directly and without a hold, so that the failure is not taken for one
-// of the executor.
+// fails, the poll is repeated on another way and without a hold, so that the failure is not taken for
+// one of the executor.
 func (s *Sender) Poll(ctx context.Context, e fleet.Executor, poll fleet.Poll) fleet.Response {
 	s.mu.Lock()
 	s.seen[e.ID] = time.Now()
@@ -120,26 +126,42 @@
 	call := &wire.RelayCall{Epoch: poll.Epoch, Poll: &wire.RelayPoll{
 		AckedSequence: poll.AckedSequence, LeaseEndMs: poll.LeaseEnd.Milliseconds(), WaitMs: poll.Wait.Milliseconds(),
 	}}
-	prepare(ctx, e, call)
-	resp, _, err := l.call(ctx, call, "")
+	l.prepare(ctx, e, call)
+	sent := time.Now()
+	resp, _, err := l.call(ctx, call, "", func(resp fleet.Response) {
+		if resp.Status == fleet.Executed {
+			s.LatePoll(e.ID, sent, resp)
+		}
+	})
 	if err == nil {
 		return resp
 	}
 	if deadline, ok := ctx.Deadline(); ctx.Err() == nil && (!ok || time.Until(deadline) > minRetryTime) {
 		poll.Wait = 0
-		return s.Executors.Poll(ctx, e, poll)
+		return s.Poll(ctx, e, poll) // through another relay, if there is one
 	}
 	return fleet.Response{Status: fleet.NoResponse, Cause: err.Error()}
 }
 
 // prepare sets the fields of a call that do not depend on its kind.
-func prepare(ctx context.Context, e fleet.Executor, call *wire.RelayCall) {
+func (l *link) prepare(ctx context.Context, e fleet.Executor, call *wire.RelayCall) {
 	call.Executor, call.Address = e.ID, e.Address
 	timeout := openTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	call.TimeoutMs = (timeout - min(replyMargin, timeout/4)).Milliseconds()
+	call.TimeoutMs = (timeout - min(replyMargin+2*l.interval, timeout/2)).Milliseconds()
+}
+
+// Delay returns how much longer a call can take because it goes through a relay.
+func (s *Sender) Delay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay := time.Duration(0)
+	for _, l := range s.up {
+		delay = max(delay, 2*l.interval)
+	}
+	return delay
 }
 
 // route returns the link for an executor; nil means a direct call.
@@ -178,9 +200,10 @@
 	for address := range s.links {
 		current[address] = true
 	}
-	for _, c := range chooseRelays(usable, current, len(s.seen)) {
+	chosen := chooseRelays(usable, current, len(s.seen))
+	for _, c := range chosen {
 		if s.links[c.Address] == nil {
-			l := newLink(c)
+			l := newLink(c, batchInterval(len(chosen), s.Weight))
 			s.links[c.Address] = l
 			go s.serve(ctx, l)
 		}
@@ -190,7 +213,7 @@
 // serve opens the stream of a link and serves it until it fails.
 func (s *Sender) serve(ctx context.Context, l *link) {
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
-	stream, err := s.Open(openCtx, l.address, &wire.RelayOpen{Owner: s.Owner})
+	stream, err := s.Open(openCtx, l.address, &wire.RelayOpen{Owner: s.Owner, BatchIntervalMs: l.interval.Milliseconds()})
 	cancel()
 	if err == nil {
 		s.Log.WithField("relay", l.address).Info("calls to executors go through a relay")
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.Log.WithField("owner", open.GetOwner()).Info("relaying calls to executors for the owner")
-	r := &resultWriter{stream: stream, wake: make(chan struct{}, 1)}
+	r := &resultWriter{stream: stream, interval: millis(open.GetBatchIntervalMs()), wake: make(chan struct{}, 1)}
 	go func() {
 		defer cancel()
 		r.run(ctx)
@@ -91,8 +91,9 @@
 
 // resultWriter groups results into batches and sends them to the owner.
 type resultWriter struct {
-	stream *peer.Stream
-	wake   chan struct{}
+	stream   *peer.Stream
+	interval time.Duration
+	wake     chan struct{}
 
 	mu      sync.Mutex
 	results []*wire.RelayResult
@@ -131,7 +132,7 @@
 		if err := r.stream.Send(&wire.RelayResults{Results: r.take()}, sendTimeout); err != nil {
 			return
 		}
-		pause(ctx, minBatchInterval)
+		pause(ctx, r.interval)
 	}
 }
 
