internal/relay: more relays on small network links, compressed texts

Change: the number of relays follows their weight, which counts the link; texts are Huffman-coded once for each relay.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -157,7 +157,11 @@
 			return ctx.Err()
 		case <-l.wake:
 		}
-		if batch := l.nextBatch(); len(batch.Calls) > 0 {
+		batch, err := l.nextBatch()
+		if err != nil {
+			return err
+		}
+		if len(batch.Calls) > 0 {
 			if err := stream.Send(batch, sendTimeout); err != nil {
 				return err
 			}
@@ -167,7 +171,7 @@
 }
 
 // nextBatch takes calls from the queue.
-func (l *link) nextBatch() *wire.RelayCalls {
+func (l *link) nextBatch() (*wire.RelayCalls, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	batch := &wire.RelayCalls{}
@@ -177,9 +181,13 @@
 		if p.call.Start != nil {
 			number, known := l.texts.find(p.text)
 			if !known {
+				compressed, err := compressText(p.text)
+				if err != nil {
+					return nil, err
+				}
 				number = l.texts.add(p.text)
-				batch.Texts = append(batch.Texts, p.text)
-				bytes += len(p.text)
+				batch.Texts = append(batch.Texts, compressed)
+				bytes += len(compressed)
 			}
 			p.call.Start.Text = number
 		}
@@ -191,7 +199,7 @@
 	if len(l.queue) > 0 {
 		notify(l.wake)
 	}
-	return batch
+	return batch, nil
 }
 
 // maxBatchBytes limits the texts in one batch.
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -14,8 +14,12 @@
 	// directExecutors is the number of executors up to which the owner makes all calls itself.
 	directExecutors = 60
 
-	// executorsPerRelay is the number of executors for which one relay is used.
-	executorsPerRelay = 40
+	// executorsPerWeight is the number of executors for which a relay is used, for each unit of its
+	// weight, within minExecutorsPerRelay and maxExecutorsPerRelay. At 2.4 KB/s for the starts and
+	// polls of a busy executor, they use a tenth of a network link.
+	executorsPerWeight   = 1.5
+	minExecutorsPerRelay = 10
+	maxExecutorsPerRelay = 40
 
 	// maxRelays limits the relays, since the owner spends processor time on the batches of each.
 	maxRelays = 20
@@ -52,7 +56,6 @@
 	if executors <= directExecutors {
 		return nil
 	}
-	wanted := min((executors+executorsPerRelay-1)/executorsPerRelay, maxRelays)
 	var chosen []Candidate
 	inDomain := make(map[string]int)
 	var spare []Candidate
@@ -60,6 +63,8 @@
 	for _, c := range candidates {
 		largest = max(largest, c.Weight)
 	}
+	perRelay := min(max(int(executorsPerWeight*float64(largest)), minExecutorsPerRelay), maxExecutorsPerRelay)
+	wanted := min((executors+perRelay-1)/perRelay, maxRelays)
 	for _, c := range candidates {
 		switch {
 		case float64(c.Weight) < minRelayShare*float64(largest):
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -47,7 +47,12 @@
 			s.Log.WithField("owner", open.GetOwner()).WithError(err).Info("no longer relaying calls for the owner")
 			return
 		}
-		for _, text := range batch.GetTexts() {
+		for _, compressed := range batch.GetTexts() {
+			text, err := decompressText(compressed)
+			if err != nil {
+				s.Log.WithField("owner", open.GetOwner()).WithError(err).Error("closing the stream of the owner")
+				return
+			}
 			texts.add(text)
 		}
 		for _, call := range batch.GetCalls() {
--- a/internal/relay/texts.go
+++ b/internal/relay/texts.go
@@ -1,5 +1,44 @@
 package relay
 
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxTextBytes limits a decompressed text; callers' requests are smaller.
+const maxTextBytes = 1 << 20
+
+// compressText compresses the text of a job. On a small network link the texts of starts take most of
+// the owner's bandwidth. Only the Huffman coding of DEFLATE is used, which needs little processor time.
+func compressText(text string) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.HuffmanOnly)
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: unable to compress text")
+	}
+	if _, err := io.WriteString(w, text); err != nil {
+		return nil, errors.Wrap(err, "relay: unable to compress text")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "relay: unable to compress text")
+	}
+	return b.Bytes(), nil
+}
+
+func decompressText(compressed []byte) (string, error) {
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxTextBytes+1))
+	if err != nil {
+		return "", errors.Wrap(err, "relay: unable to decompress text")
+	}
+	if len(text) > maxTextBytes {
+		return "", errors.Newf("relay: text is longer than %d bytes", maxTextBytes)
+	}
+	return string(text), nil
+}
+
 // textWindowSize is the number of texts of jobs that a relay keeps for each stream.
 const textWindowSize = 256
 
