internal/host: an owner that still reads rows does not report that no job waits

The owner had changed, its successor was reading the rows and sent a state without counts, which the follower took for zero. Change: counts that are not known are marked as unchanged. Measured: TestNewOwnerDoesNotReportUnknownCounts fails before and passes after.

--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -138,7 +138,7 @@
 		if time.Since(behindSince) < configPushDelay {
 			reply.Config, reply.ConfigVersion = nil, f.GetConfigVersion()
 		}
-		if d != nil && counts != nil && maps.Equal(counts, d.LastPendingJobs()) {
+		if d != nil && counts != nil && !reply.GetCountsUnchanged() && maps.Equal(counts, d.LastPendingJobs()) {
 			reply.Counts, reply.CountsUnchanged = nil, true
 		} else if d != nil {
 			counts = d.LastPendingJobs()
@@ -208,7 +208,9 @@
 	if config.Version > f.GetConfigVersion() {
 		r.Config = config.Source
 	}
-	for queue, n := range d.LastPendingJobs() {
+	counts := d.LastPendingJobs()
+	r.CountsUnchanged = counts == nil // not known until the owner has read the rows of earlier owners
+	for queue, n := range counts {
 		r.Counts = append(r.Counts, &wire.QueueCount{Queue: queue, Waiting: n})
 	}
 	return r
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -33,13 +33,19 @@
 	mu    sync.Mutex
 	owner *wire.OwnerRecord
 	clock time.Duration
+	// commits makes takeovers succeed, after which other rows than the owner's cannot be read.
+	commits bool
 	// reads counts the reads by the instance under test.
 	reads int
 	// unavailable makes all reads fail.
 	unavailable bool
 }
 
-func (r *rowStore) scan(context.Context, string, string, int) (ledger.Page, error) {
+func (r *rowStore) scan(ctx context.Context, prefix, _ string, _ int) (ledger.Page, error) {
+	if prefix != ledger.OwnerKey {
+		<-ctx.Done()
+		return ledger.Page{}, ctx.Err()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads++
@@ -50,8 +56,11 @@
 	return ledger.Page{Rows: []table.Row{{Key: ledger.OwnerKey, Value: value, Version: 5}}, StoreClock: r.clock}, err
 }
 
-// send rejects all commits with a conflict, so that no takeover succeeds.
+// send rejects all commits with a conflict, unless takeovers are to succeed.
 func (r *rowStore) send(context.Context, table.Transaction) (table.Result, time.Duration) {
+	if r.commits {
+		return table.Result{Outcome: table.Committed, Version: 6}, r.clock
+	}
 	return table.Result{Outcome: table.Conflict}, 0
 }
 
@@ -265,3 +274,21 @@
 	waitFor(t, "further reads", func() bool { return r.count() >= first+reads })
 	assert.Assert(t, time.Since(start) < reads*limit, "%d reads took %s", reads, time.Since(start))
 }
+
+// While a new owner reads the rows of its predecessor it does not know how many jobs wait. It must not
+// tell its followers that none does.
+func TestNewOwnerDoesNotReportUnknownCounts(t *testing.T) {
+	r := &rowStore{owner: &wire.OwnerRecord{}, commits: true}
+	h := startHost(t, r, 100)
+	var client peer.Client
+	defer client.Close()
+	var reply *wire.FollowReply
+	waitFor(t, "the takeover", func() bool {
+		res, _, err := client.Call(t.Context(), h.Address, &wire.Request{Body: &wire.Request_Follow{
+			Follow: &wire.Follow{Name: "c", Address: "127.0.0.1:1", AtOnce: true},
+		}})
+		reply = res.GetFollow()
+		return err == nil && reply.GetEpoch() > 0
+	})
+	assert.Assert(t, reply.GetCountsUnchanged())
+}
