internal/cell: several slow calls for the tickets of one step, fewer attempts to place gangs

One slow call allows about ten executors, calls for one step follow one another, and the first tickets end before the last call answers. Change: up to four slow calls for one step at the same time; a gang is tried again when an executor of its tickets has room, every 25 ms at most; passes keep a distance that grows with the fleet; steps that do not fit an executor's free CPU skip it early. Measured: TestWideGangStarts fails before and passes after.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -22,6 +22,10 @@
 	// requires.
 	spareExecutors = 2
 
+	// maxParallelSlowAdvice is the maximum number of slow calls in flight for one step. The tasks of a
+	// gang need tickets that are valid at the same time, and one call often allows too few executors.
+	maxParallelSlowAdvice = 4
+
 	// capacityFactor is the capacity to request relative to the pending tasks, since other steps
 	// may take part of it first.
 	capacityFactor = 1.15
@@ -40,7 +44,7 @@
 	adviceRecheckInterval = 20 * time.Millisecond
 
 	// adviceRecheckSteps is the number of steps in scheduling order after which the interval grows.
-	adviceRecheckSteps = 16
+	adviceRecheckSteps = 4
 
 	// roomyInterval is how long a list of executors with room is used, for each executor of the fleet,
 	// since the time that it takes to make the list grows with the fleet.
@@ -79,7 +83,7 @@
 // With fastOnly it returns only calls that are not slow.
 func (c *Core) NextAdviceRequest(now time.Time, fastOnly bool) *AdviceRequest {
 	for i, st := range c.runnable {
-		if st.adviceInFlight || st.queue.Advice == nil || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
+		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st.queue.Advice) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
 		slow := st.queue.Advice.BaseLatency > slowAdvice
@@ -91,7 +95,7 @@
 		}
 		if req := c.newAdviceRequest(now, st); req != nil {
 			req.Slow = slow
-			st.adviceInFlight = true
+			st.adviceInFlight++
 			if !slow {
 				// The executors are stored while the call is in flight.
 				c.recordExecutors(st.job, req.toRecord)
@@ -105,10 +109,17 @@
 	return nil
 }
 
+// roomyExecutor is an executor with room for tasks.
+type roomyExecutor struct {
+	*executor
+	// freeCPU is its free CPU in millicores when the list was made.
+	freeCPU int64
+}
+
 // roomyExecutors returns the executors that may start tasks and have room for the smallest pending
 // task, which is no larger than those of st. The list can be a few milliseconds old: on a full fleet it is short, and looking for room for
 // every pending step among all executors would take most of the processor.
-func (c *Core) roomyExecutors(now time.Time, st *stepState) []*executor {
+func (c *Core) roomyExecutors(now time.Time, st *stepState) []roomyExecutor {
 	smallest := st.spec.Reserved().CPUMillis
 	if !c.roomyAt.IsZero() && now.Sub(c.roomyAt) < roomyInterval*time.Duration(len(c.sortedExecutors)) && smallest >= c.roomyFor {
 		return c.roomy
@@ -121,18 +132,31 @@
 	c.roomy, c.roomyAt, c.roomyFor = nil, now, smallest
 	for _, ex := range c.sortedExecutors {
 		if free, _ := c.allocator.Free(ex.ID); free.CPUMillis >= smallest && c.canStart(now, ex) {
-			c.roomy = append(c.roomy, ex)
+			c.roomy = append(c.roomy, roomyExecutor{ex, free.CPUMillis})
 		}
 	}
 	return c.roomy
 }
 
+// maxParallelAdvice returns the maximum number of calls in flight for one step of a queue.
+func maxParallelAdvice(a *fleet.Advice) int {
+	if a.BaseLatency > slowAdvice {
+		return maxParallelSlowAdvice
+	}
+	return 1
+}
+
 // newAdviceRequest selects the executors to ask for; nil means that a call would not help.
 func (c *Core) newAdviceRequest(now time.Time, st *stepState) *AdviceRequest {
 	renewBefore := now.Add(ticketMargin + st.queue.Advice.LatencyPerExecutor*usualAdviceExecutors + st.queue.Advice.BaseLatency)
 	placeable := 0
 	var options []option
-	for _, ex := range c.roomyExecutors(now, st) {
+	neededCPU := st.spec.Reserved().CPUMillis
+	for _, roomy := range c.roomyExecutors(now, st) {
+		if roomy.freeCPU < neededCPU {
+			continue
+		}
+		ex := roomy.executor
 		id := ex.ID
 		if !st.matches(ex) {
 			continue
@@ -147,6 +171,9 @@
 			placeable += fits
 			continue
 		}
+		if _, inFlight := st.asking[id]; inFlight {
+			continue
+		}
 		askedIncarnation, seen := st.asked[id]
 		if seen && askedIncarnation == ex.incarnation && !ticketValid {
 			continue
@@ -160,13 +187,21 @@
 	if st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
 		return nil
 	}
+	share := c.allowedShareOf(st.queue.Name).value
+	expected := 0.0
+	for _, fits := range st.asking {
+		expected += share * float64(fits)
+	}
+	if expected += float64(placeable); expected >= float64(need)*capacityFactor {
+		return nil
+	}
 	limit := maxAdviceExecutors
 	if st.queue.Advice.BaseLatency > slowAdvice {
 		limit = usualAdviceExecutors
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	share := c.allowedShareOf(st.queue.Name).value
-	for _, ex := range chooseExecutors(options, placeable, need, share, limit) {
+	for _, ex := range chooseExecutors(options, int(expected), need, share, limit) {
+		st.asking[ex.ID] = c.fits(st, ex)
 		req.Executors = append(req.Executors, ex.ID)
 		req.incarnations[ex.ID] = ex.incarnation
 	}
@@ -275,7 +310,10 @@
 // ApplyAdvice applies the response to an advice request; ok is false when the call failed.
 func (c *Core) ApplyAdvice(now time.Time, req *AdviceRequest, tickets []fleet.Ticket, validity time.Duration, ok bool) {
 	st := req.state
-	st.adviceInFlight = false
+	st.adviceInFlight--
+	for _, id := range req.Executors {
+		delete(st.asking, id)
+	}
 	st.fullScan = true
 	if !ok {
 		st.nextAdviceAt = now.Add(adviceRetryDelay)
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -58,7 +58,7 @@
 	// unacked holds the executors with ended runs that are applied and not acknowledged.
 	unacked map[string]*executor
 	// roomy holds the executors that had roomyFor millicores free at roomyAt.
-	roomy    []*executor
+	roomy    []roomyExecutor
 	roomyAt  time.Time
 	roomyFor int64
 	allocator       place.Cell
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -206,6 +206,9 @@
 func (d *Driver) loop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	passTimer := time.NewTimer(0)
+	defer passTimer.Stop()
+	var lastPass time.Time
 	close(d.restored)
 	for {
 		select {
@@ -217,10 +220,16 @@
 		case <-ticker.C:
 			d.core.Tick(d.Ledger.Now())
 			d.publishStats(d.Ledger.Now())
+		case <-passTimer.C:
 		}
 		if d.core.LostOwnership {
 			return ledger.ErrLostOwnership
 		}
+		if wait := d.core.PassInterval() - d.Ledger.Now().Sub(lastPass); wait > 0 {
+			passTimer.Reset(wait)
+			continue
+		}
+		lastPass = d.Ledger.Now()
 		d.applyDecisions(ctx)
 	}
 }
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -57,6 +57,9 @@
 	// lateStartWindow is how long a start that timed out may still be executed.
 	lateStartWindow = 15 * time.Second
 
+	// passInterval is the minimum time between two scheduling passes for each executor of the fleet.
+	passInterval = 2 * time.Microsecond
+
 	// failureWindow is how long the failures of an executor count.
 	failureWindow = 8 * time.Second
 )
@@ -150,6 +153,12 @@
 	c.Log.WithField("executor", id).WithField("runs", len(ex.runs)).Info("executor removed from the instance list")
 }
 
+// PassInterval returns the minimum time between two scheduling passes. A pass takes longer the larger
+// the fleet is, and one pass can cover many events.
+func (c *Core) PassInterval() time.Duration {
+	return passInterval * time.Duration(len(c.sortedExecutors))
+}
+
 // TakeNewExecutors returns the IDs of the executors added since the last call.
 func (c *Core) TakeNewExecutors() []string {
 	ids := c.newExecutors
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -232,3 +232,21 @@
 		assert.Assert(t, float64(good) >= 0.9*float64(all))
 	}
 }
+
+// A gang that needs more executors than one call to the policy service allows must start: the calls
+// for it must be made within the validity of the first tickets.
+func TestWideGangStarts(t *testing.T) {
+	for seed := range uint64(3) {
+		sim := newLargestFleet(t, seed, 400)
+		sim.allowedShare, sim.failureShare = 0.35, 0
+		o := sim.takeOver()
+		sim.advance(time.Second)
+		spec := flow.Spec{Queue: slowQueue, Text: "text", Steps: []flow.StepSpec{{
+			Count: 160, Need: place.Resources{CPUMillis: 6600, MemoryMB: 10000}, Estimate: 2 * time.Second, Gang: true,
+		}}}
+		sim.submit(o, "gang", spec)
+		sim.advance(10 * time.Second)
+		assert.Equal(t, o.core.State("gang").State, flow.Completed)
+		sim.expectNoViolations()
+	}
+}
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -113,7 +113,8 @@
 	}
 	placeable := 0
 	var options []option
-	for _, ex := range c.roomyExecutors(now, st) {
+	for _, roomy := range c.roomyExecutors(now, st) {
+		ex := roomy.executor
 		if !c.isEligible(now, st, ex) {
 			continue
 		}
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -23,6 +23,9 @@
 	peakFactor = 1.0
 	peakDecay  = 0.25
 
+	// gangRetryInterval is the time between two attempts to place a gang.
+	gangRetryInterval = 25 * time.Millisecond
+
 	// ticketMargin is how long before its expiry a ticket is no longer used, since the start has to
 	// arrive while the ticket is valid.
 	ticketMargin = 150 * time.Millisecond
@@ -57,13 +60,17 @@
 	// asked holds, by executor, the incarnation for which the policy service was asked. If there is
 	// no ticket for it, the policy service did not allow that incarnation.
 	asked          map[string]int64
-	adviceInFlight bool
+	adviceInFlight int
+	// asking holds the executors named in calls in flight, with the number of tasks that fit there.
+	asking map[string]int
 	nextAdviceAt   time.Time
 	// runsOn counts the runs of the step by executor.
 	runsOn map[string]int
 	// unclaimed holds the executors on which an earlier owner may have started tasks of the step
 	// and that are not claimed yet. While there are any, no task of the step is started.
 	unclaimed map[string]bool
+	// nextGangAt is when a gang may be placed again after it did not fit.
+	nextGangAt time.Time
 	// fullScan is set when the next scheduling pass has to consider all executors.
 	fullScan bool
 	// failuresOn counts failed and stalled runs of the step by executor.
@@ -130,7 +137,7 @@
 	}
 	st := &stepState{
 		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.config.Queue(j.Spec.Queue),
-		tickets: make(map[string]ticket), asked: make(map[string]int64),
+		tickets: make(map[string]ticket), asked: make(map[string]int64), asking: make(map[string]int),
 		runsOn: make(map[string]int), failuresOn: make(map[string]int),
 		unclaimed: make(map[string]bool),
 	}
@@ -261,8 +268,12 @@
 		st.fullScan = true
 		return
 	}
+	if st.spec.Gang {
+		c.tryGang(now, st, freed)
+		return
+	}
 	var candidates []place.Candidate
-	if st.fullScan || st.spec.Gang {
+	if st.fullScan {
 		candidates = c.candidates(now, st)
 	} else {
 		candidates = c.candidatesAmong(now, st, freed)
@@ -271,10 +282,6 @@
 	if len(candidates) == 0 {
 		return
 	}
-	if st.spec.Gang {
-		c.startGang(now, st, candidates)
-		return
-	}
 	for len(st.pending) > 0 {
 		index := st.pending[0]
 		if !c.leavesReserve(st, 1) {
@@ -306,6 +313,20 @@
 	return len(live) > 0
 }
 
+// tryGang places a gang if that could succeed where it did not before. Placing all of its tasks takes
+// long, so it is not tried after every event.
+func (c *Core) tryGang(now time.Time, st *stepState, freed []*executor) {
+	st.fullScan = st.fullScan || len(c.candidatesAmong(now, st, freed)) > 0
+	if !st.fullScan || now.Before(st.nextGangAt) {
+		return
+	}
+	st.fullScan = false
+	st.nextGangAt = now.Add(gangRetryInterval)
+	if candidates := c.candidates(now, st); len(candidates) > 0 {
+		c.startGang(now, st, candidates)
+	}
+}
+
 // startGang starts all tasks of a gang or none.
 func (c *Core) startGang(now time.Time, st *stepState, candidates []place.Candidate) {
 	if len(st.pending) < st.spec.Count || !c.leavesReserve(st, st.spec.Count) {
