--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -176,3 +176,24 @@
 	}
 	sim.expectNoViolations()
 }
+
+// Jobs are ordered by the time at which the owner received them. The wall clocks of the instances that
+// received them from clients may be wrong by seconds, in either direction.
+func TestOrderOfJobsIgnoresClocksOfOtherInstances(t *testing.T) {
+	for _, jump := range []time.Duration{-2400 * time.Millisecond, 2400 * time.Millisecond} {
+		sim, o := newIdleCell(t, 1)
+		submit := func(id string, accepted time.Time) {
+			spec := singleStep(slowQueue, 3, time.Second)
+			spec.Accepted = accepted
+			specs[t.Name()+id] = spec
+			o.core.Submit(sim.now, id, spec, func(cell.Reply) {})
+			o.applyDecisions()
+			sim.advance(100 * time.Millisecond)
+		}
+		submit("running", sim.now)
+		submit("first", sim.now.Add(jump))
+		submit("second", sim.now.Add(-jump))
+		sim.advance(20 * time.Second)
+		assert.Assert(t, sim.endedAt["first"].Before(sim.endedAt["second"]), "clock wrong by %s", jump)
+	}
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -30,6 +30,8 @@
 		reply(Reply{Outcome: Rejected, Reason: "store does not answer", RetryAfter: rejectRetryAfter})
 		return
 	}
+	// The clock of the instance that received the job may be wrong, and jobs are ordered by this time.
+	spec.Accepted = now
 	j := c.newJob(flow.NewJob(id, spec, q.MaxAttempts), q)
 	j.submitReplies = append(j.submitReplies, reply)
 	c.writes.addNew(j)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -49,8 +49,8 @@
 
 	// up is set while the stream is open.
 	up atomic.Bool
-	// lastReceived is when the last batch arrived, in Unix nanoseconds.
-	lastReceived atomic.Int64
+	// lastReceived is when the last batch arrived.
+	lastReceived atomic.Pointer[time.Time]
 	wake         chan struct{}
 	// failed is closed when the link has ended.
 	failed chan struct{}
@@ -93,7 +93,8 @@
 	defer stream.Close()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l.lastReceived.Store(time.Now().UnixNano())
+	opened := time.Now()
+	l.lastReceived.Store(&opened)
 	l.up.Store(true)
 	go func() { cancel(l.receive(stream)) }()
 	go func() { cancel(l.send(ctx, stream)) }()
@@ -107,10 +108,10 @@
 		late := now.Sub(last) > 2*checkInterval
 		last = now
 		if late {
-			l.lastReceived.Store(now.UnixNano())
+			l.lastReceived.Store(&now)
 			continue
 		}
-		if silence := now.Sub(time.Unix(0, l.lastReceived.Load())); silence > silenceTimeout {
+		if silence := now.Sub(*l.lastReceived.Load()); silence > silenceTimeout {
 			return errors.Newf("relay: nothing received for %s", silence.Round(time.Millisecond))
 		}
 		if l.tooManyTimeouts(now) {
@@ -126,7 +127,8 @@
 		if err := stream.Receive(&batch, 0); err != nil {
 			return err
 		}
-		l.lastReceived.Store(time.Now().UnixNano())
+		received := time.Now()
+		l.lastReceived.Store(&received)
 		for _, r := range batch.GetResults() {
 			l.deliver(r)
 		}
