--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -292,3 +292,77 @@
 	})
 	assert.Assert(t, reply.GetCountsUnchanged())
 }
+
+// The owner sends its state to a follower again and again on one stream, and the list of followers only
+// when it has changed: calls of a hundred followers, each answered with the whole list, would take much
+// of its processor and network link.
+func TestOwnerSendsStateOnOneStream(t *testing.T) {
+	r := &rowStore{owner: &wire.OwnerRecord{}, commits: true}
+	h := startHost(t, r, 100)
+	var client peer.Client
+	defer client.Close()
+	waitFor(t, "the takeover", func() bool {
+		res, _, err := client.Call(t.Context(), h.Address, &wire.Request{Body: &wire.Request_Follow{
+			Follow: &wire.Follow{Name: "c", Address: "127.0.0.1:1", AtOnce: true},
+		}})
+		return err == nil && res.GetFollow().GetEpoch() > 0
+	})
+	s, err := client.Open(t.Context(), h.Address, &wire.Request{Body: &wire.Request_Follow{
+		Follow: &wire.Follow{Name: "c", Address: "127.0.0.1:1", ConfigVersion: 1, Stream: true},
+	}})
+	assert.NilError(t, err)
+	defer s.Close()
+	lists := 0
+	for range 5 {
+		var res wire.Response
+		assert.NilError(t, s.Receive(&res, waitTimeout))
+		assert.Assert(t, res.GetFollow().GetEpoch() > 0)
+		assert.Equal(t, len(res.GetFollow().GetConfig()), 0)
+		if len(res.GetFollow().GetFollowers()) > 0 {
+			lists++
+			assert.DeepEqual(t, res.GetFollow().GetFollowers(), []string{"127.0.0.1:1"})
+		}
+	}
+	assert.Equal(t, lists, 1)
+}
+
+// A follower keeps one stream from the owner open and tells it from time to time that it is alive.
+func TestFollowerKeepsStreamOpen(t *testing.T) {
+	var mu sync.Mutex
+	streams, reports := 0, 0
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := peer.Server{HandleStream: func(ctx context.Context, req *wire.Request, s *peer.Stream) bool {
+		if req.GetFollow() == nil {
+			return false
+		}
+		mu.Lock()
+		streams++
+		mu.Unlock()
+		go func() {
+			var in wire.Request
+			for s.Receive(&in, 0) == nil {
+				mu.Lock()
+				reports++
+				mu.Unlock()
+			}
+		}()
+		state := &wire.Response{Body: &wire.Response_Follow{Follow: &wire.FollowReply{Epoch: 3, ConfigVersion: 1}}}
+		for s.Send(state, time.Second) == nil {
+			sleep(ctx, 50*time.Millisecond)
+		}
+		return true
+	}}
+	go func() { _ = s.Serve(t.Context(), l) }()
+	r := &rowStore{owner: &wire.OwnerRecord{Holder: "a", Address: l.Addr().String(), Epoch: 3}}
+	h := startHost(t, r, 100)
+	waitFor(t, "reports of the follower", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return reports >= 4
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, streams, 1)
+	assert.Assert(t, h.Ready())
+}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -146,3 +147,76 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Check(t, outcome == peer.NotSent)
 }
+
+// startStream opens a stream to a server that serves it with handle.
+func startStream(t *testing.T, handle func(s *peer.Stream)) *peer.Stream {
+	t.Helper()
+	server := &peer.Server{Handle: echo, HandleStream: func(_ context.Context, req *wire.Request, s *peer.Stream) bool {
+		if req.GetRelayOpen() == nil {
+			return false
+		}
+		handle(s)
+		return true
+	}}
+	client := &peer.Client{Dial: pipeDial(t.Context(), server)}
+	t.Cleanup(client.Close)
+	s, err := client.Open(t.Context(), "a", &wire.Request{Body: &wire.Request_RelayOpen{RelayOpen: &wire.RelayOpen{}}})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Messages of a stream arrive in both directions, in order, at the same time.
+func TestStreamCarriesMessagesBothWays(t *testing.T) {
+	const messages = 50
+	s := startStream(t, func(s *peer.Stream) {
+		for {
+			var in wire.RelayCalls
+			if s.Receive(&in, 0) != nil {
+				return
+			}
+			_ = s.Send(&wire.RelayResults{Results: []*wire.RelayResult{{Id: in.GetCalls()[0].GetId()}}}, time.Second)
+		}
+	})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := range int64(messages) {
+			assert.Check(t, s.Send(&wire.RelayCalls{Calls: []*wire.RelayCall{{Id: i}}}, time.Second))
+		}
+	})
+	for i := range int64(messages) {
+		var out wire.RelayResults
+		assert.NilError(t, s.Receive(&out, 10*time.Second))
+		assert.Equal(t, out.GetResults()[0].GetId(), i)
+	}
+	wg.Wait()
+}
+
+// A call of Receive ends when its timeout passes, and when the stream is closed meanwhile.
+func TestReceiveEnds(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	s := startStream(t, func(*peer.Stream) { <-done })
+	var m wire.RelayResults
+	assert.Check(t, s.Receive(&m, 10*time.Millisecond) != nil)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Receive(&m, 0) }()
+	time.AfterFunc(50*time.Millisecond, s.Close)
+	select {
+	case err := <-ended:
+		assert.Check(t, err != nil)
+	case <-time.After(3 * time.Second):
+		t.Fatal("Receive did not end with the stream")
+	}
+	assert.Check(t, s.Receive(&m, 0) != nil)
+}
+
+// A server that supports streams still serves calls.
+func TestCallsBesideStreams(t *testing.T) {
+	server := &peer.Server{Handle: echo, HandleStream: func(context.Context, *wire.Request, *peer.Stream) bool { return false }}
+	client := peer.Client{Dial: pipeDial(t.Context(), server)}
+	defer client.Close()
+	res, _, err := client.Call(t.Context(), "a", fetch(5))
+	assert.NilError(t, err)
+	assert.Equal(t, res.GetConfig().GetRevision(), int64(5))
+}
