--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -57,7 +57,10 @@
 	adviceTimeoutMargin = 400 * time.Millisecond
 )
 
-var commitSeconds = metrics.NewHistogram("commit_seconds")
+var (
+	commitSeconds = metrics.NewHistogram("commit_seconds")
+	passSeconds   = metrics.NewHistogram("scheduling_pass_seconds")
+)
 
 // Change is one change of the instance list.
 type Change struct {
@@ -231,6 +234,7 @@
 		}
 		lastPass = d.Ledger.Now()
 		d.applyDecisions(ctx)
+		passSeconds.Update(d.Ledger.Now().Sub(lastPass).Seconds())
 	}
 }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -210,6 +210,7 @@
 // call makes one call through the relay. If it returns an error, sent reports whether the relay may
 // have received the call, and late, unless it is nil, takes the response if it still arrives.
 func (l *link) call(ctx context.Context, call *wire.RelayCall, text string, late func(fleet.Response)) (resp fleet.Response, sent bool, err error) {
+	relayedCalls.Inc()
 	p := &pendingCall{call: call, text: text, result: make(chan *wire.RelayResult, 1), late: late}
 	l.mu.Lock()
 	l.nextID++
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -12,6 +13,15 @@
 	"github.com/daisyrack/daisyrack/pkg/wire"
 )
 
+// Metrics of the owner's calls to executors, and of relays, since the start of the process.
+var (
+	relayedCalls  = metrics.NewCounter("relay_calls_total")
+	failedRelays  = metrics.NewCounter("relay_failures_total")
+	latePolls     = metrics.NewCounter("relay_late_polls_total")
+	relaysInUse   = metrics.NewGauge("relays_in_use", nil)
+	executedCalls = metrics.NewCounter("relay_executed_calls_total")
+)
+
 const (
 	// openTimeout limits the time until a stream to a relay is open.
 	openTimeout = 500 * time.Millisecond
@@ -130,6 +140,7 @@
 	sent := time.Now()
 	resp, _, err := l.call(ctx, call, "", func(resp fleet.Response) {
 		if resp.Status == fleet.Executed {
+			latePolls.Inc()
 			s.LatePoll(e.ID, sent, resp)
 		}
 	})
@@ -224,8 +235,10 @@
 	delete(s.links, l.address)
 	s.backoff[l.address] = time.Now().Add(failureBackoff)
 	s.removeUp(l)
+	relaysInUse.Set(float64(len(s.up)))
 	s.mu.Unlock()
 	if ctx.Err() == nil {
+		failedRelays.Inc()
 		s.Log.WithField("relay", l.address).WithError(err).Warn("relay failed; calls to its executors take other ways")
 	}
 }
@@ -236,6 +249,7 @@
 	defer s.mu.Unlock()
 	l.up.Store(true)
 	s.up = insertLink(s.up, l)
+	relaysInUse.Set(float64(len(s.up)))
 	clear(s.routed)
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -71,6 +71,7 @@
 
 // execute makes one call to an executor.
 func (s *Server) execute(ctx context.Context, call *wire.RelayCall, text string) fleet.Response {
+	executedCalls.Inc()
 	ctx, cancel := context.WithTimeout(ctx, millis(call.GetTimeoutMs()))
 	defer cancel()
 	e := fleet.Executor{ID: call.GetExecutor(), Address: call.GetAddress()}
