--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -58,10 +58,10 @@
 	// unacked holds the executors with ended runs that are applied and not acknowledged.
 	unacked map[string]*executor
 	// roomy holds the executors that had roomyFor millicores free at roomyAt.
-	roomy    []roomyExecutor
-	roomyAt  time.Time
-	roomyFor int64
-	allocator       place.Cell
+	roomy     []roomyExecutor
+	roomyAt   time.Time
+	roomyFor  int64
+	allocator place.Cell
 
 	// runnable holds the steps with pending tasks, in scheduling order.
 	runnable []*stepState
@@ -102,7 +102,7 @@
 	allowedShares map[string]*allowedShare
 	// urgentCPU and otherCPU are the CPU reserved by runs of urgent and of other queues, in millicores.
 	urgentCPU, otherCPU int64
-	Stats         Counters
+	Stats               Counters
 }
 
 // Counters count decisions and events since the takeover.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -141,7 +141,7 @@
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0),
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
 		failureShare: 0.02, advisers: numAdvisers,
-		history:      make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
+		history: make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
 		config: &fleet.Config{Version: 1, Queues: []fleet.Queue{
 			{Name: testQueue, Service: testService, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
 			{Name: slowQueue, Service: testService, Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second},
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -62,8 +62,8 @@
 	asked          map[string]int64
 	adviceInFlight int
 	// asking holds the executors named in calls in flight, with the number of tasks that fit there.
-	asking map[string]promise
-	nextAdviceAt   time.Time
+	asking       map[string]promise
+	nextAdviceAt time.Time
 	// runsOn counts the runs of the step by executor.
 	runsOn map[string]int
 	// unclaimed holds the executors on which an earlier owner may have started tasks of the step
