internal/ledger, internal/cell: a series of takeovers ends by itself

The new owner reads the rows of its predecessor before its first renewal; on links of 2 Mbit/s that takes longer than 700 ms, the next instance takes over and reads as well. Change: the row is renewed while the rows are read; after terms shorter than 4 s the next owner gets twice the time, up to 5.6 s, until a term is long again. A process that is gone is still replaced at once. Measured: TestOwnerRenewsWhileItReads and TestShortTermsGiveTheNextOwnerMoreTime.

--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -177,12 +177,16 @@
 	for i, prefix := range []string{ledger.JobPrefix, ledger.ProgressPrefix, ledger.EndPrefix} {
 		wg.Go(func() { rows[i], errs[i] = d.Ledger.ScanAll(ctx, prefix) })
 	}
-	wg.Wait()
+	confirmed, err := d.renewUntilRead(ctx, &wg)
+	if err != nil {
+		return err
+	}
 	for _, err := range errs {
 		if err != nil {
 			return err
 		}
 	}
+	d.core.ConfirmOwnership(confirmed)
 	d.core.Restore(d.Ledger.Now(), rows[0], rows[1], rows[2])
 	d.Log.WithField("epoch", epoch).WithField("jobs", len(d.core.jobs)).WithField("open_jobs", d.core.openJobs()).
 		WithField("rows", len(rows[0])+len(rows[1])+len(rows[2])).
@@ -191,6 +195,34 @@
 	return nil
 }
 
+// renewUntilRead renews the ownership while the rows are read, which can take longer than the age at
+// which another instance takes over. It returns when the last renewal was sent.
+func (d *Driver) renewUntilRead(ctx context.Context, reads *sync.WaitGroup) (time.Time, error) {
+	done := make(chan struct{})
+	go func() {
+		reads.Wait()
+		close(done)
+	}()
+	var confirmed time.Time
+	ticker := time.NewTicker(ledger.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return confirmed, nil
+		case <-ticker.C:
+		}
+		sent, err := d.Ledger.Commit(ctx, nil, nil)
+		switch {
+		case err == nil:
+			confirmed = sent
+		case !errors.Is(err, ledger.ErrRefused):
+			reads.Wait()
+			return confirmed, err
+		}
+	}
+}
+
 // spawn runs a goroutine that uses the ledger and therefore has to end before the next term.
 func (d *Driver) spawn(f func()) {
 	d.wg.Go(f)
--- a/internal/cell/driver_test.go
+++ b/internal/cell/driver_test.go
@@ -107,3 +107,50 @@
 	defer mu.Unlock()
 	assert.Equal(t, started["second"], 0)
 }
+
+// A new owner must renew its row while it reads the rows of its predecessor: on a slow network link that
+// takes longer than the age at which the next instance takes over.
+func TestOwnerRenewsWhileItReads(t *testing.T) {
+	start := time.Now()
+	var mu sync.Mutex
+	var commits []time.Time
+	reading := make(chan struct{})
+	d := &cell.Driver{
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second,
+		Ledger: &ledger.Ledger{
+			Name: "a", Now: time.Now, Sleep: func(context.Context, time.Duration) {},
+			Send: func(context.Context, table.Transaction) (table.Result, time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				commits = append(commits, time.Now())
+				return table.Result{Outcome: table.Committed, Version: int64(len(commits))}, time.Since(start)
+			},
+			Scan: func(context.Context, string, string, int) (ledger.Page, error) {
+				<-reading
+				return ledger.Page{StoreClock: time.Since(start)}, nil
+			},
+		},
+		List: func(ctx context.Context) ([]fleet.Executor, int64, error) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+		Config: func() *fleet.Config { return &fleet.Config{Version: 1} }, Advisers: func() []string { return nil },
+	}
+	d.Init()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx, &ledger.OwnerRow{}) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		// The first commit acquires the row.
+		if len(commits) >= 4 {
+			return poll.Success()
+		}
+		return poll.Continue("%d commits", len(commits))
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	close(reading)
+	assert.Equal(t, d.Submit(ctx, "job", singleStep(testQueue, 1, time.Second)).Outcome, cell.Rejected) // no such queue
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -286,7 +286,7 @@
 			row = reread
 		}
 	}
-	if a := row.Record.GetAddress(); a != "" && a != h.Address && (a != former || row.Age() <= ledger.StaleAfter) {
+	if a := row.Record.GetAddress(); a != "" && a != h.Address && (a != former || row.Age() <= row.StaleAfter()) {
 		h.setOwner(a, row.Record.GetEpoch())
 		if a != former {
 			return true
@@ -312,7 +312,7 @@
 func (h *Host) canTakeOver(row *ledger.OwnerRow, former string, confirmedGone bool) bool {
 	r := row.Record
 	switch {
-	case row.Version == 0, row.Vacant(), row.Age() > ledger.StaleAfter:
+	case row.Version == 0, row.Vacant(), row.Age() > row.StaleAfter():
 		return true
 	case r.GetAddress() == h.Address && r.GetNonce() != h.Nonce:
 		return true // the holder was an earlier process of this instance
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,6 +27,12 @@
 	// takes the cell over. It leaves time for two renewals and a slow response.
 	StaleAfter = 700 * time.Millisecond
 
+	// shortTerm is the length of a term below which the next owner gets twice the time of StaleAfter,
+	// up to maxStaleDoublings times. A takeover is the heaviest work of an owner: where instances or
+	// links are too slow for it, each takeover would only cause the next one.
+	shortTerm         = 4 * time.Second
+	maxStaleDoublings = 3
+
 	// MaxCommitRows limits the puts and deletes of one commit besides the owner's row.
 	MaxCommitRows = 98
 
@@ -110,6 +116,10 @@
 	epoch   int64
 	// commitNumber numbers the commits of an epoch. All attempts of a commit have the same number.
 	commitNumber     int64
+	// acquired is the store's clock at the last call to Acquire, shortTerms the number of short terms
+	// before that.
+	acquired         time.Duration
+	shortTerms       int64
 	lastStoreClock   time.Duration
 	lastStoreClockAt time.Time
 }
@@ -137,6 +147,20 @@
 	return o.StoreClock - time.Duration(o.Record.GetStoreMs())*time.Millisecond
 }
 
+// StaleAfter returns the age at which another instance may take the cell over from this holder.
+func (o *OwnerRow) StaleAfter() time.Duration {
+	return StaleAfter << min(max(o.Record.GetShortTerms(), 0), maxStaleDoublings)
+}
+
+// shortTerms returns the number of successive short terms up to and including this one.
+func (o *OwnerRow) shortTerms() int64 {
+	r := o.Record
+	if o.Version == 0 || r.GetAcquiredMs() == 0 || time.Duration(r.GetStoreMs()-r.GetAcquiredMs())*time.Millisecond >= shortTerm {
+		return 0
+	}
+	return r.GetShortTerms() + 1
+}
+
 // Vacant reports whether no instance owns the cell.
 func (o *OwnerRow) Vacant() bool {
 	return o.Record.GetHolder() == ""
@@ -166,6 +190,7 @@
 	l.epoch = previous.Record.GetEpoch() + 1
 	l.commitNumber = 0
 	l.setStoreClock(previous.StoreClock)
+	l.acquired, l.shortTerms = previous.StoreClock, previous.shortTerms()
 	if _, err := l.Commit(ctx, nil, nil); err != nil {
 		return 0, err
 	}
@@ -197,6 +222,7 @@
 	row := &wire.OwnerRecord{
 		Holder: holder, Address: address, Epoch: l.epoch, Commit: l.commitNumber,
 		StoreMs: l.estimateStoreClock().Milliseconds(), Nonce: l.Nonce,
+		AcquiredMs: l.acquired.Milliseconds(), ShortTerms: l.shortTerms,
 	}
 	value, err := proto.Marshal(row)
 	if err != nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -72,6 +72,12 @@
 	return table.Result{Outcome: table.Committed, Version: s.version}, s.clock()
 }
 
+func (s *fakeStore) advance(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = s.now.Add(d)
+}
+
 func (s *fakeStore) time() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,3 +259,31 @@
 	assert.Equal(t, sends, 2)
 	assert.Equal(t, string(s.rows["job/1"].Value), "x")
 }
+
+// While terms are short, each next owner gets more time, so that a takeover that is too heavy for the
+// instances does not cause the next one for ever. A long term ends that.
+func TestShortTermsGiveTheNextOwnerMoreTime(t *testing.T) {
+	s := newFakeStore()
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	var stale []time.Duration
+	term := func(i int, length time.Duration) {
+		l := s.ledger(names[i], uint64(i))
+		row, err := l.ReadOwner(t.Context())
+		assert.NilError(t, err)
+		_, err = l.Acquire(t.Context(), row)
+		assert.NilError(t, err)
+		s.advance(length)
+		_, err = l.Commit(t.Context(), nil, nil)
+		assert.NilError(t, err)
+		row, err = l.ReadOwner(t.Context())
+		assert.NilError(t, err)
+		stale = append(stale, row.StaleAfter())
+	}
+	for i := range 5 {
+		term(i, time.Second)
+	}
+	term(5, 10*time.Second)
+	term(0, time.Second)
+	const d = ledger.StaleAfter
+	assert.DeepEqual(t, stale, []time.Duration{d, 2 * d, 4 * d, 8 * d, 8 * d, 8 * d, d})
+}
