internal/ledger: rows are read in pages that fit the network link

Change: pages start with 32 rows, grow where they are quick, shrink where they are slow or do not arrive, and are retried as long as the ownership holds. Measured: TestScanAllOnSlowLink fails before (it ends with the first error).

--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -174,11 +174,15 @@
 	var rows [3][]table.Row
 	var errs [3]error
 	var wg sync.WaitGroup
+	scanCtx, cancelScans := context.WithCancel(ctx)
+	defer cancelScans()
 	for i, prefix := range []string{ledger.JobPrefix, ledger.ProgressPrefix, ledger.EndPrefix} {
-		wg.Go(func() { rows[i], errs[i] = d.Ledger.ScanAll(ctx, prefix) })
+		wg.Go(func() { rows[i], errs[i] = d.Ledger.ScanAll(scanCtx, prefix) })
 	}
 	confirmed, err := d.renewUntilRead(ctx, &wg)
 	if err != nil {
+		cancelScans()
+		wg.Wait()
 		return err
 	}
 	for _, err := range errs {
@@ -217,7 +221,6 @@
 		case err == nil:
 			confirmed = sent
 		case !errors.Is(err, ledger.ErrRefused):
-			reads.Wait()
 			return confirmed, err
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,8 +42,14 @@
 	// MaxPageBytes keeps a base64-encoded row below the store's limit of 64 KB.
 	MaxPageBytes = 40 << 10
 
-	// scanLimit is the maximum number of rows read with one call.
-	scanLimit = 500
+	// firstScanLimit is the number of rows of the first page of a scan, maxScanLimit the maximum. The
+	// number changes by scanLimitFactor after a page that took less than quickScan, or more than
+	// slowScan. Rows have up to MaxPageBytes.
+	firstScanLimit  = 32
+	maxScanLimit    = 500
+	scanLimitFactor = 4
+	quickScan       = 100 * time.Millisecond
+	slowScan        = 500 * time.Millisecond
 
 	// maxRefusalTime is how long the store must refuse a commit before it is abandoned; short
 	// bursts of too many calls pass sooner.
@@ -348,14 +354,26 @@
 	}
 }
 
-// ScanAll reads all rows with the prefix.
+// ScanAll reads all rows with the prefix. It reads few rows at a time where a page takes long or does
+// not arrive in time, as on a slow network link, and retries until ctx ends.
 func (l *Ledger) ScanAll(ctx context.Context, prefix string) ([]table.Row, error) {
 	var rows []table.Row
 	after := ""
+	limit := firstScanLimit
 	for {
-		p, err := l.Scan(ctx, prefix, after, scanLimit)
-		if err != nil {
+		start := l.Now()
+		p, err := l.Scan(ctx, prefix, after, limit)
+		switch {
+		case err != nil && ctx.Err() != nil:
 			return nil, errors.Wrapf(err, "ledger: unable to read rows with prefix %q", prefix)
+		case err != nil:
+			limit = max(limit/scanLimitFactor, 1)
+			l.Sleep(ctx, retryInterval)
+			continue
+		case l.Now().Sub(start) < quickScan:
+			limit = min(limit*scanLimitFactor, maxScanLimit)
+		case l.Now().Sub(start) > slowScan:
+			limit = max(limit/scanLimitFactor, 1)
 		}
 		rows = append(rows, p.Rows...)
 		if !p.More || len(p.Rows) == 0 {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -287,3 +290,53 @@
 	const d = ledger.StaleAfter
 	assert.DeepEqual(t, stale, []time.Duration{d, 2 * d, 4 * d, 8 * d, 8 * d, 8 * d, d})
 }
+
+// On a slow network link a page of many rows does not arrive before its timeout. The rows must be read
+// all the same, in smaller pages; otherwise no instance could ever take the cell over again.
+func TestScanAllOnSlowLink(t *testing.T) {
+	for _, most := range []int{1, 3, 20, 400} {
+		s := newFakeStore()
+		const rows = 300
+		for i := range rows {
+			key := fmt.Sprintf("%s%04d", ledger.JobPrefix, i)
+			s.rows[key] = table.Row{Key: key}
+		}
+		l := s.ledger("a", 1)
+		l.Scan = func(_ context.Context, prefix, after string, limit int) (ledger.Page, error) {
+			if limit > most {
+				return ledger.Page{}, context.DeadlineExceeded
+			}
+			keys := slices.Sorted(maps.Keys(s.rows))
+			p := ledger.Page{}
+			for _, key := range keys {
+				if strings.HasPrefix(key, prefix) && key > after {
+					p.More = len(p.Rows) == limit
+					if p.More {
+						break
+					}
+					p.Rows = append(p.Rows, s.rows[key])
+				}
+			}
+			return p, nil
+		}
+		got, err := l.ScanAll(t.Context(), ledger.JobPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), rows, "pages of %d rows", most)
+	}
+}
+
+// A scan ends with its context while the store does not respond.
+func TestScanAllEndsWithContext(t *testing.T) {
+	l := newFakeStore().ledger("a", 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	tries := 0
+	l.Scan = func(context.Context, string, string, int) (ledger.Page, error) {
+		if tries++; tries == 5 {
+			cancel()
+		}
+		return ledger.Page{}, context.DeadlineExceeded
+	}
+	_, err := l.ScanAll(ctx, ledger.JobPrefix)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, tries, 5)
+}
