--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -45,7 +45,7 @@
 	// firstScanLimit is the number of rows of the first page of a scan, maxScanLimit the maximum. The
 	// number changes by scanLimitFactor after a page that took less than quickScan, or more than
 	// slowScan. Rows have up to MaxPageBytes.
-	firstScanLimit  = 32
+	firstScanLimit  = 8
 	maxScanLimit    = 500
 	scanLimitFactor = 4
 	quickScan       = 100 * time.Millisecond
