--- a/internal/cell/driver_test.go
+++ b/internal/cell/driver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,28 +20,32 @@
 	"github.com/daisyrack/daisyrack/pkg/table"
 )
 
+// workingLedger returns a ledger of an empty store whose commits all succeed.
+func workingLedger(committed func()) *ledger.Ledger {
+	var version atomic.Int64
+	start := time.Now()
+	return &ledger.Ledger{
+		Name: "a", Now: time.Now, Sleep: func(context.Context, time.Duration) {},
+		Send: func(context.Context, table.Transaction) (table.Result, time.Duration) {
+			committed()
+			return table.Result{Outcome: table.Committed, Version: version.Add(1)}, time.Since(start)
+		},
+		Scan: func(context.Context, string, string, int) (ledger.Page, error) {
+			return ledger.Page{StoreClock: time.Since(start)}, nil
+		},
+	}
+}
+
 // A start that is queued behind unanswered commands must not be sent once its job is cancelled.
 func TestStartOfCancelledJobIsNotSent(t *testing.T) {
 	var mu sync.Mutex
-	version := int64(0)
 	start := time.Now()
 	started := make(map[string]int)
 	var running []fleet.Run
 	release := make(chan struct{})
 	d := &cell.Driver{
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second,
-		Ledger: &ledger.Ledger{
-			Name: "a", Now: time.Now, Sleep: func(context.Context, time.Duration) {},
-			Send: func(context.Context, table.Transaction) (table.Result, time.Duration) {
-				mu.Lock()
-				defer mu.Unlock()
-				version++
-				return table.Result{Outcome: table.Committed, Version: version}, time.Since(start)
-			},
-			Scan: func(context.Context, string, string, int) (ledger.Page, error) {
-				return ledger.Page{StoreClock: time.Since(start)}, nil
-			},
-		},
+		Ledger: workingLedger(func() {}),
 		List: func(context.Context) ([]fleet.Executor, int64, error) {
 			e := fleet.Executor{ID: "x", Service: testService, Capacity: place.Resources{CPUMillis: 64000, MemoryMB: 64000}}
 			return []fleet.Executor{e}, 1, nil
@@ -111,25 +116,16 @@
 // A new owner must renew its row while it reads the rows of its predecessor: on a slow network link that
 // takes longer than the age at which the next instance takes over.
 func TestOwnerRenewsWhileItReads(t *testing.T) {
-	start := time.Now()
-	var mu sync.Mutex
-	var commits []time.Time
+	var commits atomic.Int64
 	reading := make(chan struct{})
+	l := workingLedger(func() { commits.Add(1) })
+	scan := l.Scan
+	l.Scan = func(ctx context.Context, prefix, after string, limit int) (ledger.Page, error) {
+		<-reading
+		return scan(ctx, prefix, after, limit)
+	}
 	d := &cell.Driver{
-		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second,
-		Ledger: &ledger.Ledger{
-			Name: "a", Now: time.Now, Sleep: func(context.Context, time.Duration) {},
-			Send: func(context.Context, table.Transaction) (table.Result, time.Duration) {
-				mu.Lock()
-				defer mu.Unlock()
-				commits = append(commits, time.Now())
-				return table.Result{Outcome: table.Committed, Version: int64(len(commits))}, time.Since(start)
-			},
-			Scan: func(context.Context, string, string, int) (ledger.Page, error) {
-				<-reading
-				return ledger.Page{StoreClock: time.Since(start)}, nil
-			},
-		},
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second, Ledger: l,
 		List: func(ctx context.Context) ([]fleet.Executor, int64, error) {
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
@@ -141,13 +137,11 @@
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx, &ledger.OwnerRow{}) }()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		mu.Lock()
-		defer mu.Unlock()
 		// The first commit acquires the row.
-		if len(commits) >= 4 {
+		if commits.Load() >= 4 {
 			return poll.Success()
 		}
-		return poll.Continue("%d commits", len(commits))
+		return poll.Continue("%d commits", commits.Load())
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
 	close(reading)
 	assert.Equal(t, d.Submit(ctx, "job", singleStep(testQueue, 1, time.Second)).Outcome, cell.Rejected) // no such queue
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -110,6 +110,7 @@
 func (h *Host) serveFollower(ctx context.Context, f *wire.Follow, stream *peer.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer stream.Close()
 	reports := make(chan *wire.Follow)
 	go func() {
 		defer cancel()
