--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -121,7 +121,7 @@
 	version int64
 	epoch   int64
 	// commitNumber numbers the commits of an epoch. All attempts of a commit have the same number.
-	commitNumber     int64
+	commitNumber int64
 	// acquired is the store's clock at the last call to Acquire, shortTerms the number of short terms
 	// before that.
 	acquired         time.Duration
