internal/cell: long-running tasks may use the room kept for urgent jobs

Change: long-running tasks do not wait for that room; a call for one task names more. Measured: TestLongRunningTaskUsesReserve fails before (0 of 2 run) and passes after.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -26,6 +26,10 @@
 	// steps make one call at a time: in a burst the advisers do not suffice for all.
 	maxParallelGangAdvice = 4
 
+	// spareForOne is the same for a step with a single pending task. With two of them one call in six
+	// would allow none.
+	spareForOne = 6
+
 	// capacityFactor is the capacity to request relative to the pending tasks, since other steps
 	// may take part of it first.
 	capacityFactor = 1.15
@@ -260,6 +264,9 @@
 	var chosen []*executor
 	expected := float64(placeable)
 	spare := spareExecutors
+	if need == 1 {
+		spare = spareForOne
+	}
 	for _, o := range options[:min(len(options), limit)] {
 		if expected >= float64(need)*capacityFactor {
 			if spare == 0 {
--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -197,3 +197,23 @@
 		assert.Assert(t, sim.endedAt["first"].Before(sim.endedAt["second"]), "clock wrong by %s", jump)
 	}
 }
+
+// A long-running task starts while there is room, also in the room that is kept free for urgent jobs:
+// callers see at once when it is missing, and it may stay for hours.
+func TestLongRunningTaskUsesReserve(t *testing.T) {
+	sim, o := newIdleCell(t, 10)
+	sim.submit(o, "batch", singleStep(slowQueue, 60, time.Minute))
+	sim.advance(time.Second)
+	spec := singleStep(slowQueue, 2, time.Minute)
+	spec.Steps[0].LongRunning = true
+	sim.submit(o, "service", spec)
+	sim.advance(500 * time.Millisecond)
+	running := 0
+	for task, spans := range sim.history {
+		if task.Job == "service" && spans[len(spans)-1].open {
+			running++
+		}
+	}
+	assert.Equal(t, running, 2)
+	sim.expectNoViolations()
+}
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -373,9 +373,10 @@
 }
 
 // leavesReserve reports whether the step may start more tasks without using the CPU reserved for
-// urgent work. Steps of the urgent priority always may.
+// urgent work. Steps of the urgent priority always may, and long-running ones, since callers notice
+// at once when they are missing.
 func (c *Core) leavesReserve(st *stepState, tasks int) bool {
-	if st.queue.Priority == 0 {
+	if st.queue.Priority == 0 || st.spec.LongRunning {
 		return true
 	}
 	capacity, _ := c.allocator.Totals()
