--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -121,16 +121,17 @@
 }
 
 // roomyExecutors returns the executors that may start tasks and have room for the smallest pending
-// task, which is no larger than those of st. The list can be a few milliseconds old: on a full fleet it is short, and looking for room for
-// every pending step among all executors would take most of the processor.
+// task, which is no larger than those of st. The list can be a few milliseconds old: on a full fleet it
+// is short, and looking for room for every pending step among all executors would take most of the
+// processor.
 func (c *Core) roomyExecutors(now time.Time, st *stepState) []roomyExecutor {
 	smallest := st.spec.Reserved().CPUMillis
 	if !c.roomyAt.IsZero() && now.Sub(c.roomyAt) < roomyInterval*time.Duration(len(c.sortedExecutors)) && smallest >= c.roomyFor {
 		return c.roomy
 	}
-	for _, st := range c.runnable {
-		if len(st.pending) > 0 {
-			smallest = min(smallest, st.spec.Reserved().CPUMillis)
+	for _, other := range c.runnable {
+		if len(other.pending) > 0 {
+			smallest = min(smallest, other.spec.Reserved().CPUMillis)
 		}
 	}
 	c.roomy, c.roomyAt, c.roomyFor = nil, now, smallest
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -60,11 +60,12 @@
 	queue  []*pendingCall
 	// sent holds the calls that were sent and have no result yet.
 	sent map[int64]*pendingCall
-	// timeouts counts the calls without a result since timeoutsSince, and results those with one.
-	timeouts      int
-	results       int
-	texts         textWindow
-	timeoutsSince time.Time
+	// timeouts counts the calls without a result since countedSince, and results those with one.
+	timeouts     int
+	results      int
+	countedSince time.Time
+	// texts are the texts of jobs that the relay has received.
+	texts textWindow
 }
 
 // pendingCall is a call that waits for its result.
@@ -254,10 +255,10 @@
 func (l *link) tooManyTimeouts(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.timeoutsSince) < timeoutWindow {
+	if now.Sub(l.countedSince) < timeoutWindow {
 		return false
 	}
 	failed := l.timeouts >= maxTimeouts && l.timeouts > l.results
-	l.timeouts, l.results, l.timeoutsSince = 0, 0, now
+	l.timeouts, l.results, l.countedSince = 0, 0, now
 	return failed
 }
