--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -46,7 +46,8 @@
 	Address string
 	// Domain is the failure domain of the instance.
 	Domain string
-	// Weight is its capacity in thousandths of a core.
+	// Weight is the smaller of its processor, in thousandths of a core, and its network link in the same
+	// unit.
 	Weight int64
 }
 
