--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -174,7 +174,7 @@
 	}
 	r.commandPending = false
 	if resp.Status == fleet.WrongExecutor {
-		c.markAllLost(now, r.ex, "another executor responds at its address")
+		c.handleReplacement(now, r.ex)
 		return
 	}
 	if cmd.Throttle != nil {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -111,6 +111,7 @@
 	Starts, Stops, Ends, Lost, Adopted, Resent       int64
 	AdviceAsked, AdviceAllowed                       int64
 	Polls, MissedPolls                               int64
+	Crashes, RepeatedCrashes                         int64
 	Throttled, SpeculativeRuns, StalledRuns          int64
 }
 
@@ -157,6 +158,8 @@
 	steps                             map[fleet.StepID]*stepState
 	runs                              map[fleet.TaskID][]*run
 	lastRunNumber                     map[fleet.TaskID]int64
+	// crashes counts, by task, the executors that crashed in this term while they ran it.
+	crashes map[fleet.TaskID]int
 	// submitReplies and cancelReplies notify the callers that wait for the corresponding commit.
 	submitReplies []func(Reply)
 	cancelReplies []func(Reply)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -78,6 +78,8 @@
 	// incarnationSince is when the current incarnation was first seen.
 	incarnationSince time.Time
 	missedPolls      int
+	// silentSince is when the first of the current missed polls was noticed.
+	silentSince time.Time
 	// unconfirmedStarts is the number of starts that timed out since the last response.
 	unconfirmedStarts int
 	runs              map[string]*run
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -19,11 +19,11 @@
 		c.loseOwnership("executor " + id)
 		return
 	case fleet.WrongExecutor:
-		c.markAllLost(now, ex, "another executor responds at its address")
-		c.recordMissedPoll(ex, resp)
+		c.handleReplacement(now, ex)
+		c.recordMissedPoll(now, ex, resp)
 		return
 	default:
-		c.recordMissedPoll(ex, resp)
+		c.recordMissedPoll(now, ex, resp)
 		return
 	}
 	if ex.isStale(sent, resp) {
@@ -79,7 +79,10 @@
 }
 
 // recordMissedPoll counts a poll without a usable response.
-func (c *Core) recordMissedPoll(ex *executor, resp fleet.Response) {
+func (c *Core) recordMissedPoll(now time.Time, ex *executor, resp fleet.Response) {
+	if ex.missedPolls == 0 {
+		ex.silentSince = now
+	}
 	ex.missedPolls++
 	c.Stats.MissedPolls++
 	c.speculateAll(ex)
@@ -130,6 +133,7 @@
 func (c *Core) handleRestart(now, sent time.Time, ex *executor, newIncarnation int64, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", newIncarnation).WithField("former", ex.incarnation).
 		WithField("runs", len(ex.runs)).Warn("executor restarted")
+	c.recordCrash(now, ex, "executor restarted")
 	ex.incarnation, ex.incarnationSince = newIncarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
 	ex.appliedSequence, ex.ackedSequence = 0, 0
@@ -164,9 +168,11 @@
 	ex.lateStarts = nil
 }
 
-func (c *Core) markAllLost(now time.Time, ex *executor, reason string) {
+// handleReplacement marks the runs of an executor as lost whose address another executor has taken.
+func (c *Core) handleReplacement(now time.Time, ex *executor) {
+	c.recordCrash(now, ex, "another executor responds at its address")
 	for _, r := range ex.sortedRuns() {
-		c.markLost(now, r, reason)
+		c.markLost(now, r, "another executor responds at its address")
 	}
 }
 
@@ -325,7 +331,9 @@
 	c.Stats.Lost++
 	r.job.lostRuns++
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
-		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", reason).Info("run lost")
+		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", reason).
+		WithField("age_ms", r.ex.silentSince.Sub(r.startedAt).Milliseconds()).
+		WithField("crashes", r.job.crashes[r.task]).Info("run lost")
 	c.detach(r)
 	c.applyEndToJob(now, r.job, r.task, r.number, fleet.Lost, "", r)
 }
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -58,6 +58,8 @@
 		{"looks_silent_total", n.MissedPolls},
 		{"fillers_paced_total", n.Throttled},
 		{"runs_stalled_total", n.StalledRuns},
+		{"executors_crashed_total", n.Crashes},
+		{"runs_crashed_again_total", n.RepeatedCrashes},
 		{"runs_copied_total", n.SpeculativeRuns},
 	}
 	for _, c := range counters {
