--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -55,6 +55,14 @@
 		fails: x.failAll || sim.rng.Float64() < sim.failureShare, need: spec.Reserved(), lasting: spec.LongRunning,
 	}
 	x.runs[key] = r
+	if sim.deadly[s.Task] {
+		sim.schedule(sim.crashAfter, func() {
+			if x.runs[key] == r {
+				sim.crashes[s.Task] = append(sim.crashes[s.Task], sim.now)
+				x.crash(sim)
+			}
+		})
+	}
 	if !spec.LongRunning && !x.hangs {
 		startedUnder := x.incarnation
 		sim.schedule(runTime, func() {
