--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -292,8 +292,12 @@
 	return placeable+options > 0 && free >= st.spec.Reserved().CPUMillis*int64(st.spec.Count)
 }
 
-// fits returns how many tasks of the step fit on an executor.
+// fits returns how many tasks of the step fit on an executor. It takes one suspect at a time.
 func (c *Core) fits(st *stepState, ex *executor) int {
+	suspects := st.hasSuspects()
+	if suspects && ex.hasUnprovenRuns() {
+		return 0
+	}
 	free, _ := c.allocator.Free(ex.ID)
 	n := int64(math.MaxInt32)
 	need := st.spec.Reserved()
@@ -309,6 +313,9 @@
 	if st.spec.MaxPerExecutor > 0 {
 		n = min(n, int64(st.spec.MaxPerExecutor-st.runsOn[ex.ID]))
 	}
+	if suspects {
+		n = min(n, 1)
+	}
 	return int(max(n, 0))
 }
 
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -62,6 +62,10 @@
 		Ticket: st.tickets[ex.ID].value, LeaseEnd: until, Epoch: c.Epoch,
 	}
 	c.attach(r)
+	if state.Suspect() {
+		ex.trial = r
+		c.Stats.Trials++
+	}
 	c.markStarted(now, st.job)
 	st.job.startedRuns++
 	st.job.lastStart = now
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -91,6 +91,11 @@
 	// lastTick is when Tick last ran, lastLateTick when it last ran late.
 	lastTick, lastLateTick time.Time
 
+	// presumedOn holds, by executor, the runs for which its crash is recorded but not certain.
+	presumedOn map[string][]flow.RunID
+	// crashedAt holds, by address, when executors crashed within crashWindow.
+	crashedAt map[string][]time.Time
+
 	// storeRefuses is set while the store refuses commits.
 	storeRefuses bool
 
@@ -111,7 +116,7 @@
 	Starts, Stops, Ends, Lost, Adopted, Resent       int64
 	AdviceAsked, AdviceAllowed                       int64
 	Polls, MissedPolls                               int64
-	Crashes, RepeatedCrashes                         int64
+	Crashes, RepeatedCrashes, Trials, GivenUp        int64
 	Throttled, SpeculativeRuns, StalledRuns          int64
 }
 
@@ -158,8 +163,6 @@
 	steps                             map[fleet.StepID]*stepState
 	runs                              map[fleet.TaskID][]*run
 	lastRunNumber                     map[fleet.TaskID]int64
-	// crashes counts, by task, the executors that crashed in this term while they ran it.
-	crashes map[fleet.TaskID]int
 	// submitReplies and cancelReplies notify the callers that wait for the corresponding commit.
 	submitReplies []func(Reply)
 	cancelReplies []func(Reply)
@@ -256,6 +259,8 @@
 	c.pendingJobs = make(map[string]int64)
 	c.allowedShares = make(map[string]*allowedShare)
 	c.unacked = make(map[string]*executor)
+	c.presumedOn = make(map[string][]flow.RunID)
+	c.crashedAt = make(map[string][]time.Time)
 	c.writes.prepare()
 }
 
@@ -342,6 +347,7 @@
 		c.checkLease(now, ex)
 	}
 	c.unblockOverdue(now)
+	c.expireCrashes(now)
 	if c.StoreUnavailable(now) {
 		c.rejectUnstored(now)
 	}
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,27 +1,265 @@
 package cell
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
+
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/flow"
+	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
-// recordCrash records that an executor has crashed with the runs it had.
-func (c *Core) recordCrash(now time.Time, ex *executor, evidence string) {
-	if ex.Draining || len(ex.runs) == 0 {
+// A task that crashes its executor takes the other runs there along. Which run is to blame is not
+// known at first: the suspects are those that the executor is not known to have survived. A suspect
+// starts again on an executor on which no other run is one (a trial), and the executor gets no other
+// tasks until the run has proven harmless. flow.Job decides when the task is given up.
+
+const (
+	// startCrashWindow is how long after the confirmation of a start a crash of the executor counts as
+	// caused by it.
+	startCrashWindow = 250 * time.Millisecond
+
+	// trialPollWait is how long an executor may hold its response during a trial, which ends with it.
+	trialPollWait = 200 * time.Millisecond
+
+	// maxTrialTime limits the trial of a task under which several executors have crashed; it lasts
+	// until the run ends.
+	maxTrialTime = 10 * time.Second
+
+	// trialRetryInterval is the interval between attempts to place a suspect for which no executor was
+	// suitable.
+	trialRetryInterval = 50 * time.Millisecond
+
+	// trialPatience is how long a suspect waits for an executor without other suspects.
+	trialPatience = time.Second
+
+	// crashWindow is how long a crash counts against the address of an executor: a machine that keeps
+	// crashing by itself is not suitable for trials.
+	crashWindow = 20 * time.Second
+
+	// longRunningRisk is the number of ordinary runs that a long-running one is worth when the
+	// executor with the least to lose is chosen.
+	longRunningRisk = 4
+)
+
+// unproven reports whether the executor is not known to have survived the start of the run.
+func (r *run) unproven() bool {
+	return r.confirmedAt.IsZero() || r.ex.clockAt.Sub(r.confirmedAt) < startCrashWindow
+}
+
+// inTrial reports whether the executor must not get other tasks because of the trial of a suspect.
+func (ex *executor) inTrial(now time.Time) bool {
+	r := ex.trial
+	if r == nil || ex.runs[r.key] != r {
+		return false
+	}
+	if r.unproven() {
+		return true
+	}
+	task := r.job.Task(r.task)
+	return task != nil && len(task.Crashes) > 1 && now.Sub(r.startedAt) < maxTrialTime
+}
+
+// endTrial makes the executor available again if the trial of a suspect is over.
+func (c *Core) endTrial(now time.Time, ex *executor) {
+	if ex.trial != nil && !ex.inTrial(now) {
+		ex.trial = nil
+		c.markFreed(ex)
+	}
+}
+
+// presumeCrash records a crash for the runs that may have caused the silence of an executor. That is
+// stored at once, since this owner may be gone before the crash is certain. It is withdrawn if the
+// executor turns out to be alive.
+func (c *Core) presumeCrash(now time.Time, ex *executor) {
+	if ex.Draining {
 		return
 	}
-	c.Stats.Crashes++
-	var youngest *run
 	for _, r := range ex.sortedRuns() {
-		if youngest == nil || r.startedAt.After(youngest.startedAt) {
+		if r.unproven() && c.recordTaskCrash(now, r, false) {
+			c.writes.recordDue = true
+			c.presumedOn[ex.ID] = append(c.presumedOn[ex.ID], flow.RunID{Task: r.task, Number: r.number})
+		}
+	}
+}
+
+// recordCrash records the crash of an executor for the given runs on it. An executor that was draining
+// left as planned.
+func (c *Core) recordCrash(now time.Time, ex *executor, runs []*run, evidence string) {
+	if ex.Draining {
+		return
+	}
+	c.confirmCrashes(ex.ID)
+	if len(runs) == 0 {
+		return
+	}
+	c.Stats.Crashes++
+	c.noteCrashAt(now, ex.Address)
+	youngest := runs[0]
+	for _, r := range runs {
+		if r.startedAt.After(youngest.startedAt) {
 			youngest = r
 		}
-		r.job.crashes[r.task]++
-		if r.job.crashes[r.task] > 1 {
+		c.recordTaskCrash(now, r, true)
+		if task := r.job.Task(r.task); task != nil && len(task.Crashes) > 1 {
 			c.Stats.RepeatedCrashes++
 		}
 	}
 	c.Log.WithField("executor", ex.ID).WithField("address", ex.Address).WithField("why", evidence).
-		WithField("runs", len(ex.runs)).WithField("silent_ms", now.Sub(ex.silentSince).Milliseconds()).
-		WithField("youngest_run", youngest.key).
+		WithField("runs", len(runs)).WithField("silent_ms", now.Sub(ex.silentSince).Milliseconds()).
+		WithField("youngest_run", youngest.key).WithField("youngest_confirmed", !youngest.confirmedAt.IsZero()).
+		WithField("trial", ex.trial != nil).
 		WithField("youngest_age_ms", ex.silentSince.Sub(youngest.startedAt).Milliseconds()).Warn("executor crashed")
 }
+
+// confirmCrashes confirms the crashes that were presumed of an executor, by this owner or an earlier one.
+func (c *Core) confirmCrashes(id string) {
+	for _, r := range c.presumedOn[id] {
+		if j := c.jobs[r.Task.Job]; j != nil && !j.State.Final() && j.ConfirmCrash(r.Task, r.Number) {
+			c.writes.markDirty(j)
+		}
+	}
+	delete(c.presumedOn, id)
+}
+
+// confirmCrashesOfGone confirms the crashes that earlier owners presumed of executors that have not
+// been seen since.
+func (c *Core) confirmCrashesOfGone() {
+	for _, id := range slices.Sorted(maps.Keys(c.presumedOn)) {
+		if c.executors[id] == nil {
+			c.confirmCrashes(id)
+		}
+	}
+}
+
+// recordTaskCrash records the crash of its executor for the task of a run, and reports whether that
+// changed anything.
+func (c *Core) recordTaskCrash(now time.Time, r *run, confirmed bool) bool {
+	crash := flow.Crash{Run: r.number, AtStart: r.unproven(), At: now}
+	if !r.confirmedAt.IsZero() { // a start without a response may not have reached the executor
+		crash.Executor, crash.Alone, crash.Confirmed = r.ex.ID, true, confirmed
+	}
+	for _, other := range r.ex.runs {
+		if other != r && (!crash.AtStart || other.unproven()) {
+			crash.Alone = false
+		}
+	}
+	if !r.job.RecordCrash(r.task, crash) {
+		return false
+	}
+	if !r.job.State.Final() {
+		c.writes.markDirty(r.job)
+	}
+	return true
+}
+
+// withdrawCrash removes the crash presumed for a run that its executor has survived.
+func (c *Core) withdrawCrash(j *job, t fleet.TaskID, number int64) {
+	if j.WithdrawCrash(t, number) && !j.State.Final() {
+		c.writes.markDirty(j)
+	}
+}
+
+// noteCrashAt records a crash of the executor at an address.
+func (c *Core) noteCrashAt(now time.Time, address string) {
+	c.crashedAt[address] = append(c.crashedAt[address], now)
+}
+
+// expireCrashes forgets crashes that no longer count against an address.
+func (c *Core) expireCrashes(now time.Time) {
+	for address, times := range c.crashedAt {
+		times = slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > crashWindow })
+		if len(times) == 0 {
+			delete(c.crashedAt, address)
+			continue
+		}
+		c.crashedAt[address] = times
+	}
+}
+
+// allocateTrial reserves the resources of a suspect on the candidate with the least to lose: one that
+// has not crashed lately and has few runs. It answers tasks that crash one executor after another; nil
+// means that no candidate is suitable now.
+func (c *Core) allocateTrial(now time.Time, st *stepState, t place.Task, candidates []place.Candidate) *executor {
+	waited := !st.trialSince.IsZero() && now.Sub(st.trialSince) > trialPatience
+	type option struct {
+		candidate     place.Candidate
+		crashes, risk int
+	}
+	var options []option
+	for _, cand := range candidates {
+		ex := c.executors[cand.Worker]
+		if waited || !ex.hasUnprovenRuns() {
+			options = append(options, option{cand, len(c.crashedAt[ex.Address]), ex.risk()})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), cmp.Compare(a.risk, b.risk),
+			cmp.Compare(a.candidate.Penalty, b.candidate.Penalty), cmp.Compare(a.candidate.Worker, b.candidate.Worker))
+	})
+	for _, o := range options {
+		if decision := c.allocator.PlaceAmong(now, t, []place.Candidate{o.candidate}); decision.Worker != "" {
+			return c.executors[decision.Worker]
+		}
+	}
+	return nil
+}
+
+// isSuspect reports whether a task of the step may be the cause of crashes of executors.
+func (st *stepState) isSuspect(index int) bool {
+	return st.job.Suspicious() && st.job.Task(st.taskID(index)).Suspect()
+}
+
+func (st *stepState) hasSuspects() bool {
+	return st.job.Suspicious() && slices.ContainsFunc(st.pending, st.isSuspect)
+}
+
+func (ex *executor) hasUnprovenRuns() bool {
+	for _, r := range ex.runs {
+		if r.unproven() {
+			return true
+		}
+	}
+	return false
+}
+
+// risk returns what a crash of the executor would destroy, in ordinary runs.
+func (ex *executor) risk() int {
+	risk := 0
+	for _, r := range ex.runs {
+		if r.spec().LongRunning {
+			risk += longRunningRisk
+		} else {
+			risk++
+		}
+	}
+	return risk
+}
+
+// crashingTask returns a pending task of the step that is given up because it crashes its executors. An
+// earlier owner may have recorded the crashes.
+func (c *Core) crashingTask(now time.Time, st *stepState) (fleet.TaskID, bool) {
+	for _, index := range st.pending {
+		if t := st.taskID(index); len(st.job.runs[t]) == 0 && st.job.FailIfCrashing(now, t) {
+			return t, true
+		}
+	}
+	return fleet.TaskID{}, false
+}
+
+// crashes returns the number of executors that crashed while they ran a task.
+func (j *job) crashes(t fleet.TaskID) int {
+	if task := j.Task(t); task != nil {
+		return len(task.Crashes)
+	}
+	return 0
+}
+
+// logCrashingTask logs that a job failed because of a task that crashes its executors.
+func (c *Core) logCrashingTask(j *job, t fleet.TaskID) {
+	c.Stats.GivenUp++
+	c.Log.WithField("job", j.ID).WithField("step", t.Step).WithField("index", t.Index).
+		Warn("job failed: task crashes its executors")
+}
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -84,6 +84,9 @@
 	unconfirmedStarts int
 	runs              map[string]*run
 
+	// trial is the run of a task that is suspected of crashing its executors, if there is one.
+	trial *run
+
 	// clock is the reading of the executor's clock in the response that arrived at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -194,7 +197,7 @@
 	if ex.Draining || !ex.claimed || ex.missedPolls >= maxMissedPolls || ex.unconfirmedStarts > 0 || ex.unknownRuns > 0 || !ex.entryIsCurrent() {
 		return false
 	}
-	if !ex.listed && now.Sub(ex.unlistedAt) >= unlistedGrace || now.Before(ex.avoidUntil) {
+	if !ex.listed && now.Sub(ex.unlistedAt) >= unlistedGrace || now.Before(ex.avoidUntil) || ex.inTrial(now) {
 		return false
 	}
 	return c.mayStart(now) && c.trusted(now, ex) && c.leaseEnd(ex)-ex.estimatedClock(now) >= minLeaseLeft
@@ -249,6 +252,8 @@
 			poll.Wait = idlePollWait
 		case c.losingResponses:
 			poll.Wait = lossyPollWait
+		case ex.trial != nil:
+			poll.Wait = trialPollWait
 		case ex.isMixed():
 			poll.Wait = mixedPollWait
 		default:
@@ -321,7 +326,14 @@
 		c.Log.WithField("executor", ex.ID).WithField("runs", len(ex.runs)).
 			WithField("silent_ms", now.Sub(ex.clockAt).Milliseconds()).Warn("lease expired without a response; restarting tasks elsewhere")
 	}
-	for _, r := range ex.sortedRuns() {
+	runs := ex.sortedRuns()
+	if !ex.listed {
+		c.recordCrash(now, ex, runs, "neither responds nor has an entry in the instance list")
+	}
+	for _, r := range runs {
+		if ex.listed {
+			c.withdrawCrash(r.job, r.task, r.number)
+		}
 		c.markLost(now, r, "lease expired")
 	}
 	if !ex.listed {
@@ -339,6 +351,7 @@
 // all leases of earlier owners have expired.
 func (c *Core) dropUnclaimed(now time.Time, ex *executor) {
 	if !ex.listed && now.After(c.priorLeasesExpiry()) {
+		c.recordCrash(now, ex, nil, "left the instance list without responding")
 		c.dropExecutor(ex)
 	}
 }
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -50,11 +51,13 @@
 	if len(resp.Ends) < maxEndsPerPoll {
 		for _, r := range ex.sortedRuns() {
 			if !listed[r.key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+				c.withdrawCrash(r.job, r.task, r.number)
 				c.markLost(now, r, "executor does not list the run")
 			}
 		}
 		c.unblockSteps(ex.ID)
 	}
+	c.endTrial(now, ex)
 	c.throttleBestEffort(now, ex)
 }
 
@@ -87,6 +90,7 @@
 	c.Stats.MissedPolls++
 	c.speculateAll(ex)
 	if ex.missedPolls == maxMissedPolls {
+		c.presumeCrash(now, ex)
 		c.updateCordon(ex)
 		c.Log.WithField("executor", ex.ID).WithField("verdict", resp.Status.String()).WithField("cause", resp.Cause).
 			WithField("runs", len(ex.runs)).Warn("executor does not respond")
@@ -133,15 +137,18 @@
 func (c *Core) handleRestart(now, sent time.Time, ex *executor, newIncarnation int64, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", newIncarnation).WithField("former", ex.incarnation).
 		WithField("runs", len(ex.runs)).Warn("executor restarted")
-	c.recordCrash(now, ex, "executor restarted")
+	runs := ex.sortedRuns()
+	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
+		return listed[r.key] || !r.confirmedAt.IsZero() && !r.confirmedAt.Before(sent) || r.confirmedAt.IsZero() && !r.mayStartLate
+	})
+	c.recordCrash(now, ex, lost, "executor restarted")
 	ex.incarnation, ex.incarnationSince = newIncarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
 	ex.appliedSequence, ex.ackedSequence = 0, 0
 	delete(c.unacked, ex.ID)
 	ex.failures, ex.slowdown = 0, 1
-	for _, r := range ex.sortedRuns() {
+	for _, r := range lost {
 		switch {
-		case listed[r.key], r.confirmedAt.IsZero(), !r.confirmedAt.Before(sent):
 		case r.mayStartLate:
 			// A delayed start may still reach the new incarnation, which does not know the lease of
 			// the former one. A stop prevents it from being executed.
@@ -170,8 +177,9 @@
 
 // handleReplacement marks the runs of an executor as lost whose address another executor has taken.
 func (c *Core) handleReplacement(now time.Time, ex *executor) {
-	c.recordCrash(now, ex, "another executor responds at its address")
-	for _, r := range ex.sortedRuns() {
+	runs := ex.sortedRuns()
+	c.recordCrash(now, ex, runs, "another executor responds at its address")
+	for _, r := range runs {
 		c.markLost(now, r, "another executor responds at its address")
 	}
 }
@@ -194,6 +202,7 @@
 	if j == nil {
 		return
 	}
+	c.withdrawCrash(j, e.Task, e.Number)
 	if e.Kind == fleet.Failed {
 		j.failedRuns++
 		c.Log.WithField("job", j.ID).WithField("step", e.Task.Step).WithField("index", e.Task.Index).
@@ -210,9 +219,13 @@
 		c.writes.markDirty(j)
 	}
 	if effect.Final {
-		if j.State == flow.Completed {
+		switch {
+		case j.State == flow.Completed:
 			c.Stats.Completed++
-		} else {
+		case j.CrashesExecutors:
+			c.Stats.Failed++
+			c.logCrashingTask(j, t)
+		default:
 			c.Stats.Failed++
 			c.Log.WithField("job", j.ID).WithField("step", t.Step).WithField("index", t.Index).
 				WithField("attempts", j.MaxAttempts).Info("job failed: task has failed too often")
@@ -274,6 +287,7 @@
 			r.confirmedAt = now
 		}
 		r.unconfirmed = false
+		c.withdrawCrash(r.job, r.task, r.number)
 		if listed.Percent > r.percent || r.progressAt.IsZero() {
 			r.progressAt = now
 		}
@@ -291,6 +305,7 @@
 		c.stopUnknownRun(ex, listed)
 		return
 	}
+	c.withdrawCrash(j, listed.Task, listed.Number)
 	r := c.adopt(now, ex, j, listed)
 	task := j.Task(listed.Task)
 	if task.Done || len(j.runs[listed.Task]) > 1 && !r.spec().AllowConcurrentRuns {
@@ -333,7 +348,7 @@
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", reason).
 		WithField("age_ms", r.ex.silentSince.Sub(r.startedAt).Milliseconds()).
-		WithField("crashes", r.job.crashes[r.task]).Info("run lost")
+		WithField("crashes", r.job.crashes(r.task)).Info("run lost")
 	c.detach(r)
 	c.applyEndToJob(now, r.job, r.task, r.number, fleet.Lost, "", r)
 }
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -77,6 +77,7 @@
 			Info("unblocked steps waiting for unresponsive executors of earlier owners")
 	}
 	if expired {
+		c.confirmCrashesOfGone()
 		c.blocked = nil
 	}
 }
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -126,6 +126,9 @@
 	for _, id := range j.Executors() {
 		j.recordedOn[id] = true
 	}
+	for ex, runs := range j.UnconfirmedCrashes() {
+		c.presumedOn[ex] = append(c.presumedOn[ex], runs...)
+	}
 	c.addSteps(now, j, j.Resume(now))
 	if _, more := j.NextDue(); more {
 		c.scheduled[id] = j
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -103,7 +103,7 @@
 // speculate requests a second run of a task; the first one that is done counts.
 func (c *Core) speculate(r *run) {
 	st := r.job.steps[stepOf(r.task)]
-	if r.speculated || r.stopping || st == nil || st.spec.Gang || len(r.job.runs[r.task]) > 1 {
+	if r.speculated || r.stopping || st == nil || st.spec.Gang || len(r.job.runs[r.task]) > 1 || r.job.crashes(r.task) > 1 {
 		return
 	}
 	r.speculated = true
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -73,6 +73,9 @@
 	nextGangAt time.Time
 	// fullScan is set when the next scheduling pass has to consider all executors.
 	fullScan bool
+	// trialSince is when a suspect began to wait for a suitable executor, nextTrialAt when it is tried
+	// again.
+	trialSince, nextTrialAt time.Time
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
 }
@@ -248,7 +251,13 @@
 	for _, ex := range freed {
 		ex.freed = false
 	}
+	failed := make(map[*stepState]fleet.TaskID)
 	c.runnable = slices.DeleteFunc(c.runnable, func(st *stepState) bool {
+		if t, ok := c.crashingTask(now, st); ok {
+			failed[st] = t
+			st.queued = false
+			return true
+		}
 		if st.queue.Advice == nil && len(st.pending) > 0 {
 			c.recordCandidates(now, st)
 		}
@@ -258,6 +267,11 @@
 		st.queued = len(st.pending) > 0
 		return !st.queued
 	})
+	for st, t := range failed {
+		c.Stats.Failed++
+		c.logCrashingTask(st.job, t)
+		c.finishJob(now, st.job)
+	}
 }
 
 // markFreed records that an executor may have capacity for tasks that did not fit before.
@@ -276,6 +290,9 @@
 		st.fullScan = true
 		return
 	}
+	if !st.trialSince.IsZero() && !now.Before(st.nextTrialAt) {
+		st.fullScan = true
+	}
 	if st.spec.Gang {
 		c.tryGang(now, st, freed)
 		return
@@ -290,24 +307,50 @@
 	if len(candidates) == 0 {
 		return
 	}
-	for len(st.pending) > 0 {
-		index := st.pending[0]
+	waiting := 0
+	for waiting < len(st.pending) {
+		index := st.pending[waiting]
 		if !c.leavesReserve(st, 1) {
 			st.fullScan = true
 			return
 		}
-		number := c.nextRunNumber(st.job, c.taskOf(st, index))
+		suspect := st.isSuspect(index)
+		number := c.nextRunNumber(st.job, st.taskID(index))
 		ex := c.allocate(now, st, index, number, candidates)
 		if ex == nil {
-			st.job.lastRunNumber[c.taskOf(st, index)]--
-			return
+			st.job.lastRunNumber[st.taskID(index)]--
+			if !suspect {
+				return
+			}
+			waiting++ // the other tasks of the step need not wait for it
+			continue
 		}
-		st.pending = st.pending[1:]
+		st.pending = slices.Delete(st.pending, waiting, waiting+1)
 		c.startRun(now, st, index, number, ex)
+		if suspect {
+			candidates = without(candidates, ex)
+		}
+	}
+	st.waitForTrial(now, waiting > 0)
+}
+
+// waitForTrial records whether suspects of the step wait for a suitable executor.
+func (st *stepState) waitForTrial(now time.Time, waits bool) {
+	switch {
+	case !waits:
+		st.trialSince = time.Time{}
+	case st.trialSince.IsZero():
+		st.trialSince = now
 	}
+	st.nextTrialAt = now.Add(trialRetryInterval)
 }
 
-func (c *Core) taskOf(st *stepState, index int) fleet.TaskID {
+// without returns the candidates except an executor.
+func without(candidates []place.Candidate, ex *executor) []place.Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(cand place.Candidate) bool { return cand.Worker == ex.ID })
+}
+
+func (st *stepState) taskID(index int) fleet.TaskID {
 	return fleet.TaskID{Job: st.job.ID, Occurrence: st.stepID.Occurrence, Step: st.stepID.Step, Index: index}
 }
 
@@ -342,8 +385,18 @@
 	}
 	number := int64(0)
 	for _, index := range st.pending {
-		number = max(number, c.nextRunNumber(st.job, c.taskOf(st, index)))
-	}
+		number = max(number, c.nextRunNumber(st.job, st.taskID(index)))
+	}
+	// Suspects are placed first, since the others must not share their executors.
+	slices.SortStableFunc(st.pending, func(a, b int) int {
+		switch suspect := st.isSuspect(a); {
+		case suspect == st.isSuspect(b):
+			return cmp.Compare(a, b)
+		case suspect:
+			return -1
+		}
+		return 1
+	})
 	placed := make([]*executor, 0, len(st.pending))
 	for _, index := range st.pending {
 		ex := c.allocate(now, st, index, number, candidates)
@@ -352,24 +405,29 @@
 		}
 		st.runsOn[ex.ID]++
 		placed = append(placed, ex)
+		if st.isSuspect(index) {
+			candidates = without(candidates, ex)
+		}
 	}
 	for _, ex := range placed {
 		st.runsOn[ex.ID]--
 	}
 	if len(placed) < len(st.pending) {
 		for i := range placed {
-			c.allocator.Release(runKey(c.taskOf(st, st.pending[i]), number))
+			c.allocator.Release(runKey(st.taskID(st.pending[i]), number))
 		}
 		for _, index := range st.pending {
-			st.job.lastRunNumber[c.taskOf(st, index)]--
+			st.job.lastRunNumber[st.taskID(index)]--
 		}
+		st.waitForTrial(now, st.hasSuspects())
 		return
 	}
 	for i, index := range st.pending {
-		st.job.lastRunNumber[c.taskOf(st, index)] = number - (c.Epoch-1)*runsPerEpoch
+		st.job.lastRunNumber[st.taskID(index)] = number - (c.Epoch-1)*runsPerEpoch
 		c.startRun(now, st, index, number, placed[i])
 	}
 	st.pending = nil
+	st.waitForTrial(now, false)
 }
 
 // leavesReserve reports whether the step may start more tasks without using the CPU reserved for
@@ -479,9 +537,12 @@
 		}
 	}
 	t := place.Task{
-		ID: runKey(c.taskOf(st, index), number), Job: st.job.ID, Kind: place.Batch,
+		ID: runKey(st.taskID(index), number), Job: st.job.ID, Kind: place.Batch,
 		Need: st.spec.Reserved(), RunTime: st.spec.Estimate,
 	}
+	if st.isSuspect(index) {
+		return c.allocateTrial(now, st, t, usable)
+	}
 	decision := c.allocator.PlaceAmong(now, t, usable)
 	if decision.Worker == "" {
 		return nil
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -84,7 +84,7 @@
 func (c *Core) newJob(flowJob *flow.Job, q *fleet.Queue) *job {
 	j := &job{
 		Job: flowJob, steps: make(map[fleet.StepID]*stepState), runs: make(map[fleet.TaskID][]*run),
-		lastRunNumber: make(map[fleet.TaskID]int64), recordedOn: make(map[string]bool), crashes: make(map[fleet.TaskID]int),
+		lastRunNumber: make(map[fleet.TaskID]int64), recordedOn: make(map[string]bool),
 	}
 	if q != nil {
 		j.priority = q.Priority
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -53,6 +53,8 @@
 	MaxAttempts int
 	// Started is set when the first task is started.
 	Started bool
+	// CrashesExecutors is set when the job failed because one of its tasks crashes its executors.
+	CrashesExecutors bool
 	// Ended is when the job reached a final state.
 	Ended time.Time
 
@@ -63,6 +65,8 @@
 	executors []string
 	// endedOccurrences counts the occurrences that have ended, in any order.
 	endedOccurrences int
+	// suspicious is set once a crash of an executor was recorded for one of the tasks.
+	suspicious bool
 }
 
 type occurrence struct {
@@ -83,6 +87,8 @@
 	// since an executor can list an end more than once.
 	FailedRuns []int64
 	Checkpoint string
+	// Crashes are the crashes of executors that ran the task, in the order of the runs.
+	Crashes []Crash
 }
 
 // NewJob returns a pending job without open occurrences.
@@ -227,7 +233,8 @@
 
 // ApplyEnd updates the job for the end of a run. For a task that is not long-running, Done completes
 // the task, and Failed counts as an attempt and fails the job after MaxAttempts of them. After any
-// other end, and after any end of a long-running task, the task is started again.
+// other end, and after any end of a long-running task, the task is started again, unless it crashes its
+// executors.
 func (j *Job) ApplyEnd(now time.Time, t fleet.TaskID, number int64, kind fleet.EndKind, checkpoint string) Effect {
 	task := j.Task(t)
 	if task == nil || task.Done || j.State.Final() {
@@ -240,6 +247,8 @@
 		return j.completeTask(now, t)
 	case kind == fleet.Failed && !step.LongRunning:
 		return j.recordFailure(now, t, number)
+	case j.FailIfCrashing(now, t):
+		return Effect{Changed: true, Final: true}
 	}
 	return Effect{Changed: changed, Restart: true}
 }
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -60,6 +60,8 @@
 		{"runs_stalled_total", n.StalledRuns},
 		{"executors_crashed_total", n.Crashes},
 		{"runs_crashed_again_total", n.RepeatedCrashes},
+		{"runs_tried_total", n.Trials},
+		{"jobs_given_up_total", n.GivenUp},
 		{"runs_copied_total", n.SpeculativeRuns},
 	}
 	for _, c := range counters {
