--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -95,8 +95,10 @@
 	if len(runs) == 0 {
 		return
 	}
+	if ex.missedPolls == 0 {
+		ex.silentSince = now
+	}
 	c.Stats.Crashes++
-	c.noteCrashAt(now, ex.Address)
 	youngest := runs[0]
 	for _, r := range runs {
 		if r.startedAt.After(youngest.startedAt) {
@@ -107,6 +109,7 @@
 			c.Stats.RepeatedCrashes++
 		}
 	}
+	c.crashedAt[ex.Address] = append(c.crashedAt[ex.Address], now)
 	c.Log.WithField("executor", ex.ID).WithField("address", ex.Address).WithField("why", evidence).
 		WithField("runs", len(runs)).WithField("silent_ms", now.Sub(ex.silentSince).Milliseconds()).
 		WithField("youngest_run", youngest.key).WithField("youngest_confirmed", !youngest.confirmedAt.IsZero()).
@@ -137,14 +140,9 @@
 // recordTaskCrash records the crash of its executor for the task of a run, and reports whether that
 // changed anything.
 func (c *Core) recordTaskCrash(now time.Time, r *run, confirmed bool) bool {
-	crash := flow.Crash{Run: r.number, AtStart: r.unproven(), At: now}
+	crash := flow.Crash{Run: r.number, AtStart: r.unproven(), Alone: c.isAloneToBlame(r), At: now}
 	if !r.confirmedAt.IsZero() { // a start without a response may not have reached the executor
-		crash.Executor, crash.Alone, crash.Confirmed = r.ex.ID, true, confirmed
-	}
-	for _, other := range r.ex.runs {
-		if other != r && (!crash.AtStart || other.unproven()) {
-			crash.Alone = false
-		}
+		crash.Executor, crash.Confirmed = r.ex.ID, confirmed
 	}
 	if !r.job.RecordCrash(r.task, crash) {
 		return false
@@ -155,6 +153,25 @@
 	return true
 }
 
+// isAloneToBlame reports whether only the run can have caused the crash of its executor: the machine has
+// not crashed lately, and no other run was on it or, if it crashed right after the start of this one,
+// had just been started.
+func (c *Core) isAloneToBlame(r *run) bool {
+	if r.confirmedAt.IsZero() || len(c.crashedAt[r.ex.Address]) > 0 {
+		return false
+	}
+	atStart := r.unproven()
+	if atStart && r.ex.silentSince.Sub(r.startedAt) > startCrashWindow {
+		return false // it may have crashed at any time since
+	}
+	for _, other := range r.ex.runs {
+		if other != r && (!atStart || other.unproven()) {
+			return false
+		}
+	}
+	return true
+}
+
 // withdrawCrash removes the crash presumed for a run that its executor has survived.
 func (c *Core) withdrawCrash(j *job, t fleet.TaskID, number int64) {
 	if j.WithdrawCrash(t, number) && !j.State.Final() {
@@ -162,11 +179,6 @@
 	}
 }
 
-// noteCrashAt records a crash of the executor at an address.
-func (c *Core) noteCrashAt(now time.Time, address string) {
-	c.crashedAt[address] = append(c.crashedAt[address], now)
-}
-
 // expireCrashes forgets crashes that no longer count against an address.
 func (c *Core) expireCrashes(now time.Time) {
 	for address, times := range c.crashedAt {
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,11 @@
 	contactTime = 3 * time.Second
 )
 
+// machineOf returns the machine of an executor; those that replace others have a longer ID.
+func machineOf(id string) string {
+	return strings.TrimLeft(id, "n")
+}
+
 // crash ends the executor and all its runs. It is back after crashDownTime, under its ID or as a new
 // executor at the same address.
 func (x *fakeExecutor) crash(sim *simulation) {
@@ -48,7 +54,7 @@
 		} else {
 			x.replaced = true
 			next := sim.addExecutor("n" + x.ID)
-			next.Address, next.Rack, next.Domain, next.Capacity = x.Address, x.Rack, x.Domain, x.Capacity
+			next.Rack, next.Domain, next.Capacity = x.Rack, x.Domain, x.Capacity
 		}
 		for _, other := range sim.sortedExecutors() {
 			for _, o := range sim.owners {
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -111,7 +110,7 @@
 			var tickets []fleet.Ticket
 			for _, id := range req.Executors {
 				h := fnv.New32a()
-				_, _ = fmt.Fprint(h, req.Step, strings.TrimLeft(id, "n")) // the same for an executor that replaces another
+				_, _ = fmt.Fprint(h, req.Step, machineOf(id))
 				if float64(h.Sum32()%1000) < sim.allowedShare*1000 {
 					tickets = append(tickets, fleet.Ticket{Executor: id, Value: "t"})
 				}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -175,7 +175,7 @@
 func (sim *simulation) addExecutor(id string) *fakeExecutor {
 	x := &fakeExecutor{
 		Executor: fleet.Executor{
-			ID: id, Service: testService, Domain: domainOf(id), Rack: "r" + id[len(id)-1:],
+			ID: id, Address: machineOf(id), Service: testService, Domain: domainOf(id), Rack: "r" + id[len(id)-1:],
 			Capacity: place.Resources{CPUMillis: 8000, MemoryMB: 16000},
 		},
 		clockRate: 1 - 0.02*sim.rng.Float64(),
--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -46,16 +46,14 @@
 	return p != nil && (len(p.Crashes) > 1 || len(p.Crashes) == 1 && p.Crashes[0].AtStart)
 }
 
-// crashesExecutors reports whether the task is given up because it crashes its executors.
+// crashesExecutors reports whether the task is given up because it crashes its executors: two crashes
+// right after the start are enough if the last can have no other cause, and three in any case, since
+// suspects are kept apart.
 func (p *TaskProgress) crashesExecutors() bool {
 	n := len(p.Crashes)
 	if n < 2 || n >= crashLimit {
 		return n >= crashLimit
 	}
-	last := p.Crashes[n-1]
-	if !last.Alone || !last.Confirmed {
-		return false
-	}
 	confirmed, atStart := 0, true
 	for _, c := range p.Crashes {
 		if c.Confirmed {
@@ -63,7 +61,12 @@
 		}
 		atStart = atStart && c.AtStart
 	}
-	return confirmed > 1 && (n > 2 || atStart)
+	last := p.Crashes[n-1]
+	certain := last.Alone && last.Confirmed
+	if n == 2 {
+		return confirmed == n && certain && atStart
+	}
+	return confirmed >= 2 && (certain || atStart)
 }
 
 // Suspicious reports whether a crash of an executor was recorded for one of the tasks.
--- a/internal/flow/crash_test.go
+++ b/internal/flow/crash_test.go
@@ -32,6 +32,8 @@
 		"two presumed":                      {[]flow.Crash{presumed, presumed}, true, false},
 		"presumed, then alone":              {[]flow.Crash{presumed, alone}, true, false},
 		"presumed, then two":                {[]flow.Crash{presumed, shared, alone}, true, true},
+		"three at the start, never alone":   {[]flow.Crash{shared, shared, shared}, true, true},
+		"three at the start, two presumed":  {[]flow.Crash{presumed, presumed, shared}, true, false},
 		"two later":                         {[]flow.Crash{later, laterAlone}, true, false},
 		"three later, the last alone":       {[]flow.Crash{later, later, laterAlone}, true, true},
 		"three later, others beside":        {[]flow.Crash{later, later, later}, true, false},
