--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -152,6 +152,15 @@
 	if r.ex.runs[r.key] != r {
 		return true // the run was lost in the meantime
 	}
+	if !r.stopping && c.overcommitted(r.ex) {
+		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
+			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has shrunk")
+		r.stopping = true
+	}
+	if !r.stopping && !c.entryIsValid(now, r.ex) {
+		c.heldStarts = append(c.heldStarts, cmd)
+		return true
+	}
 	if !r.stopping {
 		return false
 	}
--- a/internal/cell/commands_test.go
+++ b/internal/cell/commands_test.go
@@ -98,12 +98,14 @@
 func TestRestartedExecutorIsNotUsedBeforeItsEntry(t *testing.T) {
 	sim, o := newIdleCell(t, 1)
 	x := sim.execs["x0"]
+	sim.listStalled = true
 	x.restart(sim)
 	x.Capacity.CPUMillis = 2000
 	sim.advance(time.Second)
 	sim.submit(o, "job", singleStep(testQueue, 4, 500*time.Millisecond))
 	sim.advance(time.Second)
 	assert.Equal(t, o.core.Stats.Starts, int64(0))
+	sim.listStalled = false
 	o.addExecutor(x)
 	sim.advance(5 * time.Second)
 	sim.expectNoViolations()
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -40,6 +40,10 @@
 	// Lease is how long executors may keep running after the last commit that confirmed ownership.
 	Lease time.Duration
 
+	// EntryValidity is how long after an executor wrote its entry its capacity is relied on for starts: it
+	// may have shrunk since. 0 means for ever.
+	EntryValidity time.Duration
+
 	// TakeoverAt is when this instance became the owner.
 	TakeoverAt time.Time
 
@@ -100,7 +104,8 @@
 	storeRefuses bool
 
 	commands []Command
-	// heldStarts are retries of starts that wait until ownership is confirmed again.
+	// heldStarts are starts that wait until ownership is confirmed again or the executor has renewed its
+	// entry.
 	heldStarts    []Command
 	writes        pendingWrites
 	pendingJobs   map[string]int64
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -73,6 +73,10 @@
 	Ledger *ledger.Ledger
 	Log    log.Interface
 	Lease  time.Duration
+	// EntryValidity is the field of Core.
+	EntryValidity time.Duration
+	// HeartbeatInterval is how often executors write their entries.
+	HeartbeatInterval time.Duration
 
 	Start    func(ctx context.Context, e fleet.Executor, cmd fleet.Start) fleet.Response
 	Stop     func(ctx context.Context, e fleet.Executor, cmd fleet.Stop) fleet.Response
@@ -83,7 +87,8 @@
 	// may be nil.
 	RelayDelay func() time.Duration
 
-	// List reads the instance list and its version. Watch waits for changes after a version.
+	// List reads the instance list and its version. Watch waits for entries that are written after a
+	// version.
 	List  func(ctx context.Context) ([]fleet.Executor, int64, error)
 	Watch func(ctx context.Context, after int64) ([]Change, int64, error)
 
@@ -167,7 +172,7 @@
 		d.OnTakeover(epoch)
 	}
 	now := d.Ledger.Now()
-	d.core = &Core{Epoch: epoch, Lease: d.Lease, TakeoverAt: now, Log: d.Log}
+	d.core = &Core{Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, Log: d.Log}
 	d.config = d.Config()
 	d.core.Init(d.config, sent)
 	d.renewedAt = now
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -69,6 +69,8 @@
 	fleet.Executor
 	// listed is set while the executor has an entry in the instance list.
 	listed bool
+	// writtenAt is when the executor wrote its entry at the earliest.
+	writtenAt time.Time
 	// unlistedAt is when the entry was removed. Entries also expire while the store is unavailable.
 	unlistedAt time.Time
 	// claimed is set when the executor responded under this epoch, runsKnown when all runs and
@@ -125,8 +127,9 @@
 	sentAt time.Time
 }
 
-// SetExecutor adds or updates an executor of the instance list.
-func (c *Core) SetExecutor(now time.Time, e fleet.Executor) {
+// SetExecutor adds or updates an executor of the instance list, whose entry was written at the given
+// time at the earliest.
+func (c *Core) SetExecutor(now, written time.Time, e fleet.Executor) {
 	ex := c.executors[e.ID]
 	if ex == nil {
 		ex = &executor{Executor: e, runs: make(map[string]*run), slowdown: 1}
@@ -137,6 +140,12 @@
 		c.Log.WithField("executor", e.ID).WithField("domain", e.Domain).WithField("rack", e.Rack).
 			WithField("cpu_millis", e.Capacity.CPUMillis).Info("executor added")
 	}
+	if ex.writtenAt.IsZero() || e.EntryVersion != ex.EntryVersion {
+		if !c.entryIsValid(now, ex) {
+			c.markFreed(ex)
+		}
+		ex.writtenAt, ex.EntryVersion = written, e.EntryVersion
+	}
 	if ex.listed && ex.Equal(&e) {
 		return // most writes of an entry only show that the executor is alive
 	}
@@ -194,7 +203,8 @@
 
 // canStart reports whether the executor may get a task now.
 func (c *Core) canStart(now time.Time, ex *executor) bool {
-	if ex.Draining || !ex.claimed || ex.missedPolls >= maxMissedPolls || ex.unconfirmedStarts > 0 || ex.unknownRuns > 0 || !ex.entryIsCurrent() {
+	if ex.Draining || !ex.claimed || ex.missedPolls >= maxMissedPolls || ex.unconfirmedStarts > 0 || ex.unknownRuns > 0 ||
+		!ex.entryIsCurrent() || !c.entryIsValid(now, ex) {
 		return false
 	}
 	if !ex.listed && now.Sub(ex.unlistedAt) >= unlistedGrace || now.Before(ex.avoidUntil) || ex.inTrial(now) {
@@ -209,6 +219,18 @@
 	return ex.Incarnation == 0 || ex.incarnation == 0 || ex.Incarnation == ex.incarnation
 }
 
+// entryIsValid reports whether the entry is recent enough to rely on the capacity that it names.
+func (c *Core) entryIsValid(now time.Time, ex *executor) bool {
+	return c.EntryValidity == 0 || now.Sub(ex.writtenAt) < c.EntryValidity && now.Round(0).Sub(ex.writtenAt.Round(0)) < c.EntryValidity
+}
+
+// overcommitted reports whether the tasks on an executor need more than its capacity, because it has
+// shrunk.
+func (c *Core) overcommitted(ex *executor) bool {
+	free, _ := c.allocator.Free(ex.ID)
+	return free.CPUMillis < 0 || free.MemoryMB < 0 || free.Accelerators < 0
+}
+
 // leaseEnd returns the lease end that may be sent now, on the executor's clock.
 func (c *Core) leaseEnd(ex *executor) time.Duration {
 	l := c.Lease
--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -183,7 +183,7 @@
 	for _, r := range x.runs {
 		used = used.Add(r.need)
 	}
-	if !spec.Reserved().Fits(x.Capacity.Sub(used)) {
+	if !spec.Reserved().Fits(x.countedCapacity(sim).Sub(used)) {
 		sim.addViolation("capacity of %s exceeded by %s", x.ID, runKey(s.Task, s.Number))
 	}
 	for _, sp := range sim.history[s.Task] {
--- a/internal/cell/faults_test.go
+++ b/internal/cell/faults_test.go
@@ -192,6 +192,7 @@
 			sim.storeRefuses, sim.storeDisruptedAt = false, sim.now
 		})
 	case 6: // an executor temporarily loses its entry
+		x.unlisted = true
 		sim.owners[len(sim.owners)-1].core.RemoveExecutor(sim.now, x.ID)
 		sim.schedule(3*time.Second, func() { sim.relist(x) })
 	}
@@ -199,6 +200,7 @@
 }
 
 func (sim *simulation) relist(x *fakeExecutor) {
+	x.unlisted = false
 	for _, o := range sim.owners {
 		if !o.dead && !x.replaced {
 			o.addExecutor(x)
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -34,7 +34,7 @@
 		logger.Level = log.DebugLevel
 	}
 	o := &owner{env: sim, unreachable: make(map[string]bool), polling: make(map[string]bool), pollingTwice: make(map[string]bool)}
-	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, TakeoverAt: sim.now, Log: logger}
+	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, EntryValidity: entryValidity, TakeoverAt: sim.now, Log: logger}
 	o.core.Init(sim.config, sim.now)
 	o.core.Restore(sim.now, sim.scan(ledger.JobPrefix), sim.scan(ledger.ProgressPrefix), sim.scan(ledger.EndPrefix))
 	sim.owners = append(sim.owners, o)
@@ -56,16 +56,21 @@
 	return calm && sim.now.Sub(o.disruptedAt) > contactTime && sim.now.Sub(sim.storeDisruptedAt) > contactTime
 }
 
+// addExecutor reads the entry of an executor, as in a list of all, and polls it from then on.
 func (o *owner) addExecutor(x *fakeExecutor) {
-	e := x.Executor
-	e.Incarnation = x.incarnation
-	o.core.SetExecutor(o.env.now, e)
+	o.setExecutor(x, o.env.now.Add(-beatInterval))
 	if !o.polling[x.ID] {
 		o.polling[x.ID] = true
 		o.poll(x.ID, false)
 	}
 }
 
+func (o *owner) setExecutor(x *fakeExecutor, written time.Time) {
+	e := x.Executor
+	e.Incarnation, e.EntryVersion = x.incarnation, x.entryVersion
+	o.core.SetExecutor(o.env.now, written, e)
+}
+
 func (o *owner) tick() {
 	if o.dead {
 		return
@@ -252,6 +257,9 @@
 
 func (o *owner) sendCommand(cmd cell.Command) {
 	sim := o.env
+	if o.core.DiscardUnwanted(sim.now, cmd) {
+		return
+	}
 	sim.sentCommands = append(sim.sentCommands, cmd)
 	delay := messageDelay + time.Duration(sim.rng.IntN(3))*time.Millisecond
 	timesOut := sim.rng.Float64() < sim.lateCommandShare
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -37,6 +37,8 @@
 
 	// storeRefuses makes the store refuse all commits.
 	storeRefuses bool
+	// listStalled keeps the owners from reading the instance list.
+	listStalled bool
 	// storeDown keeps the store from responding to commits.
 	storeDown bool
 	// storeDisruptedAt is when the store last began or ceased to refuse commits or to be down.
@@ -89,7 +91,13 @@
 }
 
 type fakeExecutor struct {
+	// Executor is the entry in the instance list, entryVersion the number of times it was written.
 	fleet.Executor
+	entryVersion int64
+	// unlisted is set while the entry is removed.
+	unlisted bool
+	// rooms holds the capacities that the executor has had, the last one being in force.
+	rooms        []room
 	startTime    time.Time
 	incarnation  int64
 	maxEpoch     int64
@@ -113,6 +121,12 @@
 	heldPolls []func()
 }
 
+// room is the capacity of an executor from some time on.
+type room struct {
+	since    time.Time
+	capacity place.Resources
+}
+
 type fakeRun struct {
 	fleet.Run
 	span      *span
@@ -182,6 +196,7 @@
 	}
 	sim.execs[id] = x
 	x.restart(sim)
+	sim.schedule(time.Duration(sim.arrivals.Int64N(int64(beatInterval))), func() { x.beat(sim) })
 	return x
 }
 
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -89,14 +89,16 @@
 // watch follows the instance list. After an error it reads the whole list again.
 func (d *Driver) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		sent := d.Ledger.Now()
 		list, version, err := d.List(ctx)
 		if err != nil {
 			d.Log.WithError(err).Warn("reading instance list failed")
 			pause(ctx, relistDelay)
 			continue
 		}
-		d.post(func(now time.Time) { d.applyList(now, list) })
+		d.post(func(now time.Time) { d.applyList(now, sent.Add(-d.HeartbeatInterval), list) })
 		for ctx.Err() == nil {
+			sent := d.Ledger.Now()
 			changes, next, err := d.Watch(ctx, version)
 			if err != nil {
 				d.Log.WithError(err).WithField("version", version).Info("watching instance list failed; reading it again")
@@ -105,7 +107,7 @@
 			}
 			version = next
 			if len(changes) > 0 {
-				d.post(func(now time.Time) { d.applyChanges(now, changes) })
+				d.post(func(now time.Time) { d.applyChanges(now, sent, changes) })
 				pause(ctx, watchInterval)
 			}
 		}
@@ -119,11 +121,11 @@
 	}
 }
 
-func (d *Driver) applyList(now time.Time, list []fleet.Executor) {
+func (d *Driver) applyList(now, written time.Time, list []fleet.Executor) {
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.ID] = true
-		d.core.SetExecutor(now, e)
+		d.core.SetExecutor(now, written, e)
 	}
 	for _, id := range d.core.ExecutorIDs() {
 		if !present[id] {
@@ -132,12 +134,12 @@
 	}
 }
 
-func (d *Driver) applyChanges(now time.Time, changes []Change) {
+func (d *Driver) applyChanges(now, written time.Time, changes []Change) {
 	for _, ch := range changes {
 		if ch.Removed {
 			d.core.RemoveExecutor(now, ch.Executor.ID)
 			continue
 		}
-		d.core.SetExecutor(now, ch.Executor)
+		d.core.SetExecutor(now, written, ch.Executor)
 	}
 }
--- a/internal/fleet/executor.go
+++ b/internal/fleet/executor.go
@@ -25,9 +25,11 @@
 	MinRemaining time.Duration
 	// Incarnation is the start time of the executor's process in Unix milliseconds; 0 if unknown.
 	Incarnation int64
+	// EntryVersion changes whenever the entry is written.
+	EntryVersion int64
 }
 
-// Equal reports whether two entries say the same.
+// Equal reports whether two entries say the same, although one may have been written later.
 func (e *Executor) Equal(other *Executor) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Domain == other.Domain &&
 		e.Rack == other.Rack && slices.Equal(e.Labels, other.Labels) && e.Capacity == other.Capacity &&
--- a/internal/fleet/executor_test.go
+++ b/internal/fleet/executor_test.go
@@ -16,7 +16,7 @@
 	entry := func() fleet.Executor {
 		return fleet.Executor{
 			ID: "i", Service: "s", Address: "a", Domain: "d", Rack: "r", Labels: []string{"l"},
-			Capacity: place.Resources{CPUMillis: 1, MemoryMB: 2, Accelerators: 3}, MinRemaining: 4, Incarnation: 5,
+			Capacity: place.Resources{CPUMillis: 1, MemoryMB: 2, Accelerators: 3}, MinRemaining: 4, Incarnation: 5, EntryVersion: 6,
 		}
 	}
 	a := entry()
@@ -30,6 +30,7 @@
 		} else {
 			field.SetZero()
 		}
-		assert.Assert(t, !a.Equal(&other), reflect.TypeFor[fleet.Executor]().Field(i).Name)
+		name := reflect.TypeFor[fleet.Executor]().Field(i).Name
+		assert.Equal(t, a.Equal(&other), name == "EntryVersion", name)
 	}
 }
