--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -158,15 +158,23 @@
 	if spec == nil {
 		return nil, errors.Newf("flow: job %s has a progress record but no spec", id)
 	}
+	if err := j.Spec.Validate(); err != nil {
+		return nil, errors.Wrapf(err, "spec of job %s", id)
+	}
 	j.executors = progress.GetExecutors()
 	for _, s := range progress.GetSteps() {
-		j.restoreStep(s)
+		if err := j.restoreStep(s); err != nil {
+			return nil, errors.Wrapf(err, "progress record of job %s", id)
+		}
 	}
 	return j, nil
 }
 
-func (j *Job) restoreStep(r *wire.StepProgress) {
+func (j *Job) restoreStep(r *wire.StepProgress) error {
 	k := int(r.GetOccurrence())
+	if k < 0 || k >= j.occurrenceCount() || r.GetStep() < occurrenceEndedMarker {
+		return errors.Newf("flow: occurrence %d has no step %d", k, r.GetStep())
+	}
 	for j.nextOccurrence <= k {
 		j.openOccurrences[j.nextOccurrence] = j.newOccurrence()
 		j.nextOccurrence++
@@ -174,11 +182,11 @@
 	if r.GetStep() == occurrenceEndedMarker {
 		delete(j.openOccurrences, k)
 		j.endedOccurrences++
-		return
+		return nil
 	}
 	o := j.openOccurrences[k]
 	if o == nil || int(r.GetStep()) >= len(o.steps) {
-		return
+		return nil
 	}
 	p := &o.steps[r.GetStep()]
 	for i := range p.tasks {
@@ -191,7 +199,7 @@
 		o.remainingSteps--
 	}
 	for _, t := range r.GetTasks() {
-		if i := int(t.GetIndex()); i < len(p.tasks) {
+		if i := int(t.GetIndex()); i >= 0 && i < len(p.tasks) {
 			p.tasks[i].FailedRuns = t.GetFailedRuns()
 			p.tasks[i].Checkpoint = t.GetCheckpoint()
 			for _, crash := range t.GetCrashes() {
@@ -200,6 +208,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // Resume opens the occurrences that are due in a restored job and returns all steps that may start.
