--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -294,7 +294,7 @@
 
 // fits returns how many tasks of the step fit on an executor. It takes one suspect at a time.
 func (c *Core) fits(st *stepState, ex *executor) int {
-	suspects := st.hasSuspects()
+	suspects := !st.trialOverdue && st.hasSuspects()
 	if suspects && ex.hasUnprovenRuns() {
 		return 0
 	}
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -195,7 +195,6 @@
 // has not crashed lately and has few runs. It answers tasks that crash one executor after another; nil
 // means that no candidate is suitable now.
 func (c *Core) allocateTrial(now time.Time, st *stepState, t place.Task, candidates []place.Candidate) *executor {
-	waited := !st.trialSince.IsZero() && now.Sub(st.trialSince) > trialPatience
 	type option struct {
 		candidate     place.Candidate
 		crashes, risk int
@@ -203,7 +202,7 @@
 	var options []option
 	for _, cand := range candidates {
 		ex := c.executors[cand.Worker]
-		if waited || !ex.hasUnprovenRuns() {
+		if st.trialOverdue || !ex.hasUnprovenRuns() {
 			options = append(options, option{cand, len(c.crashedAt[ex.Address]), ex.risk()})
 		}
 	}
@@ -228,6 +227,23 @@
 	return st.job.Suspicious() && slices.ContainsFunc(st.pending, st.isSuspect)
 }
 
+// updateTrial records how long suspects of the step have been waiting, and makes the step consider all
+// executors for them at intervals: one can become suitable without getting any room.
+func (st *stepState) updateTrial(now time.Time) {
+	switch {
+	case !st.hasSuspects():
+		st.trialSince, st.trialOverdue = time.Time{}, false
+		return
+	case st.trialSince.IsZero():
+		st.trialSince = now
+	case now.Before(st.nextTrialAt):
+		return
+	}
+	st.trialOverdue = now.Sub(st.trialSince) > trialPatience
+	st.nextTrialAt = now.Add(trialRetryInterval)
+	st.fullScan = true
+}
+
 func (ex *executor) hasUnprovenRuns() bool {
 	for _, r := range ex.runs {
 		if r.unproven() {
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -74,8 +74,9 @@
 	// fullScan is set when the next scheduling pass has to consider all executors.
 	fullScan bool
 	// trialSince is when a suspect began to wait for a suitable executor, nextTrialAt when it is tried
-	// again.
+	// again. trialOverdue is set when it has waited for so long that any executor will do.
 	trialSince, nextTrialAt time.Time
+	trialOverdue            bool
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
 }
@@ -290,9 +291,7 @@
 		st.fullScan = true
 		return
 	}
-	if !st.trialSince.IsZero() && !now.Before(st.nextTrialAt) {
-		st.fullScan = true
-	}
+	st.updateTrial(now)
 	if st.spec.Gang {
 		c.tryGang(now, st, freed)
 		return
@@ -331,18 +330,6 @@
 			candidates = without(candidates, ex)
 		}
 	}
-	st.waitForTrial(now, waiting > 0)
-}
-
-// waitForTrial records whether suspects of the step wait for a suitable executor.
-func (st *stepState) waitForTrial(now time.Time, waits bool) {
-	switch {
-	case !waits:
-		st.trialSince = time.Time{}
-	case st.trialSince.IsZero():
-		st.trialSince = now
-	}
-	st.nextTrialAt = now.Add(trialRetryInterval)
 }
 
 // without returns the candidates except an executor.
@@ -405,7 +392,7 @@
 		}
 		st.runsOn[ex.ID]++
 		placed = append(placed, ex)
-		if st.isSuspect(index) {
+		if st.isSuspect(index) && !st.trialOverdue {
 			candidates = without(candidates, ex)
 		}
 	}
@@ -419,7 +406,6 @@
 		for _, index := range st.pending {
 			st.job.lastRunNumber[st.taskID(index)]--
 		}
-		st.waitForTrial(now, st.hasSuspects())
 		return
 	}
 	for i, index := range st.pending {
@@ -427,7 +413,6 @@
 		c.startRun(now, st, index, number, placed[i])
 	}
 	st.pending = nil
-	st.waitForTrial(now, false)
 }
 
 // leavesReserve reports whether the step may start more tasks without using the CPU reserved for
@@ -540,7 +525,7 @@
 		ID: runKey(st.taskID(index), number), Job: st.job.ID, Kind: place.Batch,
 		Need: st.spec.Reserved(), RunTime: st.spec.Estimate,
 	}
-	if st.isSuspect(index) {
+	if st.isSuspect(index) && (!st.spec.Gang || !st.trialOverdue) {
 		return c.allocateTrial(now, st, t, usable)
 	}
 	decision := c.allocator.PlaceAmong(now, t, usable)
