--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -100,6 +100,9 @@
 	// crashedAt holds, by address, when executors crashed within crashWindow.
 	crashedAt map[string][]time.Time
 
+	// silences holds when executors fell silent within crashWindow.
+	silences []time.Time
+
 	// storeRefuses is set while the store refuses commits.
 	storeRefuses bool
 
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -19,10 +19,10 @@
 const (
 	// startCrashWindow is how long after the confirmation of a start a crash of the executor counts as
 	// caused by it.
-	startCrashWindow = 250 * time.Millisecond
+	startCrashWindow = 150 * time.Millisecond
 
 	// trialPollWait is how long an executor may hold its response during a trial, which ends with it.
-	trialPollWait = 200 * time.Millisecond
+	trialPollWait = 80 * time.Millisecond
 
 	// maxTrialTime limits the trial of a task under which several executors have crashed; it lasts
 	// until the run ends.
@@ -39,6 +39,13 @@
 	// crashing by itself is not suitable for trials.
 	crashWindow = 20 * time.Second
 
+	// commonSilenceWindow is the time within which executors that fall silent have a common cause.
+	commonSilenceWindow = 100 * time.Millisecond
+
+	// faultyMachineFactor is how many times more often than the average a machine has to crash to be to
+	// blame itself.
+	faultyMachineFactor = 2
+
 	// longRunningRisk is the number of ordinary runs that a long-running one is worth when the
 	// executor with the least to lose is chosen.
 	longRunningRisk = 4
@@ -74,6 +81,7 @@
 // stored at once, since this owner may be gone before the crash is certain. It is withdrawn if the
 // executor turns out to be alive.
 func (c *Core) presumeCrash(now time.Time, ex *executor) {
+	c.silences = append(c.silences, ex.silentSince)
 	if ex.Draining {
 		return
 	}
@@ -153,17 +161,20 @@
 	return true
 }
 
-// isAloneToBlame reports whether only the run can have caused the crash of its executor: the machine has
-// not crashed lately, and no other run was on it or, if it crashed right after the start of this one,
+// isAloneToBlame reports whether only the run can have caused the crash of its executor: the machine does
+// not crash by itself, and no other run was on it or, if it crashed right after the start of this one,
 // had just been started.
 func (c *Core) isAloneToBlame(r *run) bool {
-	if r.confirmedAt.IsZero() || len(c.crashedAt[r.ex.Address]) > 0 {
+	if r.confirmedAt.IsZero() || c.crashesByItself(r.ex) {
 		return false
 	}
 	atStart := r.unproven()
 	if atStart && r.ex.silentSince.Sub(r.startedAt) > startCrashWindow {
 		return false // it may have crashed at any time since
 	}
+	if !atStart && c.fellSilentTogether(r.ex) {
+		return false
+	}
 	for _, other := range r.ex.runs {
 		if other != r && (!atStart || other.unproven()) {
 			return false
@@ -172,6 +183,29 @@
 	return true
 }
 
+// crashesByItself reports whether the machine of an executor has crashed so much more often than others
+// lately that it may be to blame itself.
+func (c *Core) crashesByItself(ex *executor) bool {
+	total := 0
+	for _, times := range c.crashedAt {
+		total += len(times)
+	}
+	crashes := len(c.crashedAt[ex.Address])
+	return crashes > 0 && float64(crashes) >= faultyMachineFactor*float64(total)/float64(len(c.executors))
+}
+
+// fellSilentTogether reports whether other executors fell silent at the same time, which has a common
+// cause: a rack that lost power, or a network partition.
+func (c *Core) fellSilentTogether(ex *executor) bool {
+	together := 0
+	for _, at := range c.silences {
+		if at.Sub(ex.silentSince).Abs() < commonSilenceWindow {
+			together++
+		}
+	}
+	return together > 1
+}
+
 // withdrawCrash removes the crash presumed for a run that its executor has survived.
 func (c *Core) withdrawCrash(j *job, t fleet.TaskID, number int64) {
 	if j.WithdrawCrash(t, number) && !j.State.Final() {
@@ -179,10 +213,12 @@
 	}
 }
 
-// expireCrashes forgets crashes that no longer count against an address.
+// expireCrashes forgets crashes and silences that no longer count.
 func (c *Core) expireCrashes(now time.Time) {
+	old := func(at time.Time) bool { return now.Sub(at) > crashWindow }
+	c.silences = slices.DeleteFunc(c.silences, old)
 	for address, times := range c.crashedAt {
-		times = slices.DeleteFunc(times, func(at time.Time) bool { return now.Sub(at) > crashWindow })
+		times = slices.DeleteFunc(times, old)
 		if len(times) == 0 {
 			delete(c.crashedAt, address)
 			continue
