--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -260,6 +260,9 @@
 	case fleet.Unavailable, fleet.InsufficientCapacity, fleet.Malformed:
 		r.ex.avoidUntil = now.Add(rejectionBackoff)
 	}
+	if !r.confirmedAt.IsZero() {
+		return // an earlier attempt was executed, as a list of runs has told since
+	}
 	if r.unconfirmed {
 		// An earlier attempt may still arrive; a stop prevents it from being executed.
 		c.stopRun(now, r, "start rejected after an unconfirmed one")
--- a/internal/cell/commands_test.go
+++ b/internal/cell/commands_test.go
@@ -112,6 +112,26 @@
 	assert.Equal(t, o.core.State("job").State, flow.Completed)
 }
 
+// The response to a start can get lost, and its retry be rejected after the run was listed.
+func TestRejectedRetryOfListedStartDoesNotStartTaskTwice(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulation(t, seed, 3)
+		sim.failureShare = 0
+		o := sim.takeOver()
+		sim.advance(time.Second)
+		for _, x := range sim.sortedExecutors() {
+			x.rejectsRetries = true
+		}
+		sim.submit(o, "short", singleStep(testQueue, 6, 150*time.Millisecond))
+		sim.submit(o, "long", singleStep(testQueue, 6, 2*time.Second))
+		sim.advance(15 * time.Second)
+		sim.expectNoViolations()
+		for _, id := range []string{"short", "long"} {
+			assert.Equal(t, o.core.State(id).State, flow.Completed)
+		}
+	}
+}
+
 // newIdleCell returns a cell whose owner has claimed all executors and in which no run fails.
 func newIdleCell(t *testing.T, count int) (*simulation, *owner) {
 	t.Helper()
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -291,7 +291,15 @@
 			}
 			return
 		}
+		if x.rejectsRetries && cmd.Start != nil && cmd.Attempt > 0 {
+			reply(fleet.Response{Status: fleet.Unavailable})
+			return
+		}
 		resp := x.execute(sim, cmd)
+		if x.rejectsRetries && cmd.Start != nil {
+			sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+			return
+		}
 		if !timesOut {
 			sim.schedule(messageDelay, func() { reply(resp) })
 		}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -111,6 +111,8 @@
 	down         bool
 	// refuses makes a down executor refuse connections at once.
 	refuses bool
+	// rejectsRetries makes the executor lose the responses to starts and reject their retries.
+	rejectsRetries bool
 	// replaced is set when another executor has taken the address.
 	replaced  bool
 	clockRate float64
