--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -69,7 +69,7 @@
 	fleet.Executor
 	// listed is set while the executor has an entry in the instance list.
 	listed bool
-	// writtenAt is when the executor wrote its entry at the earliest.
+	// writtenAt is about when the executor wrote its entry, as given to SetExecutor.
 	writtenAt time.Time
 	// unlistedAt is when the entry was removed. Entries also expire while the store is unavailable.
 	unlistedAt time.Time
@@ -127,8 +127,8 @@
 	sentAt time.Time
 }
 
-// SetExecutor adds or updates an executor of the instance list, whose entry was written at the given
-// time at the earliest.
+// SetExecutor adds or updates an executor of the instance list. Its entry was written after the given
+// time, or up to watchInterval and one read of the list before it.
 func (c *Core) SetExecutor(now, written time.Time, e fleet.Executor) {
 	ex := c.executors[e.ID]
 	if ex == nil {
