--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -305,6 +305,9 @@
 // crashingTask returns a pending task of the step that is given up because it crashes its executors. An
 // earlier owner may have recorded the crashes.
 func (c *Core) crashingTask(now time.Time, st *stepState) (fleet.TaskID, bool) {
+	if !st.job.Suspicious() {
+		return fleet.TaskID{}, false
+	}
 	for _, index := range st.pending {
 		if t := st.taskID(index); len(st.job.runs[t]) == 0 && st.job.FailIfCrashing(now, t) {
 			return t, true
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -44,16 +44,9 @@
 	for _, index := range st.pending {
 		number = max(number, c.nextRunNumber(st.job, st.taskID(index)))
 	}
-	// Suspects are placed first, since the others must not share their executors.
-	slices.SortStableFunc(st.pending, func(a, b int) int {
-		switch suspect := st.isSuspect(a); {
-		case suspect == st.isSuspect(b):
-			return cmp.Compare(a, b)
-		case suspect:
-			return -1
-		}
-		return 1
-	})
+	if st.hasSuspects() {
+		st.sortSuspectsFirst()
+	}
 	placed := make([]*executor, 0, len(st.pending))
 	for _, index := range st.pending {
 		ex := c.allocate(now, st, index, number, candidates)
@@ -84,3 +77,17 @@
 	}
 	st.pending = nil
 }
+
+// sortSuspectsFirst sorts the pending tasks so that suspects are placed first, since the others must not
+// share their executors.
+func (st *stepState) sortSuspectsFirst() {
+	slices.SortStableFunc(st.pending, func(a, b int) int {
+		switch suspect := st.isSuspect(a); {
+		case suspect == st.isSuspect(b):
+			return cmp.Compare(a, b)
+		case suspect:
+			return -1
+		}
+		return 1
+	})
+}
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -321,7 +321,11 @@
 			waiting++ // the other tasks of the step need not wait for it
 			continue
 		}
-		st.pending = slices.Delete(st.pending, waiting, waiting+1)
+		if waiting == 0 {
+			st.pending = st.pending[1:]
+		} else {
+			st.pending = slices.Delete(st.pending, waiting, waiting+1)
+		}
 		c.startRun(now, st, index, number, ex)
 		if suspect {
 			candidates = without(candidates, ex)
--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -139,6 +139,9 @@
 // WithdrawCrash removes the crash recorded for a run, whose executor turned out to have survived it,
 // and reports whether there was one.
 func (j *Job) WithdrawCrash(t fleet.TaskID, run int64) bool {
+	if !j.suspicious {
+		return false
+	}
 	task := j.Task(t)
 	if task == nil || len(task.Crashes) == 0 {
 		return false
