internal/cell: the log shows why a long-running step waits

The log of the incident could not tell why a long-running task was started again only 13 s after its failure: the line for waiting steps was written once a wait of the whole step, a backlog of other steps used up the steps that are examined, and room that is promised to calls in flight was not among the reasons.

Long-running steps are examined beside others and reported every 5 s while they wait, with their position in the scheduling order; 'promised to other calls' is a reason of its own. A line and a histogram show how long a long-running task did not run between two runs. No decision changes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -97,7 +97,7 @@
 		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
-		slow := st.queue.Advice.BaseLatency > slowAdvice
+		slow := st.hasSlowAdvice()
 		if slow && fastOnly {
 			continue
 		}
@@ -163,19 +163,37 @@
 
 // maxParallelAdvice returns the maximum number of calls in flight for a step.
 func maxParallelAdvice(st *stepState) int {
-	if st.spec.Gang && st.queue.Advice.BaseLatency > slowAdvice {
+	if st.spec.Gang && st.hasSlowAdvice() {
 		return maxParallelGangAdvice
 	}
 	return 1
 }
 
+// hasSlowAdvice reports whether calls to the policy service for the step take long.
+func (st *stepState) hasSlowAdvice() bool {
+	return st.queue.Advice.BaseLatency > slowAdvice
+}
+
+// fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
+// millicores has room beside what other slow calls in flight are likely to claim.
+func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
+	return int(max(freeCPU-ex.promisedCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
+}
+
+// isPromised reports whether an executor has room for the step only without what slow calls in flight
+// are likely to claim, so that it is not asked for.
+func (c *Core) isPromised(st *stepState, ex *executor) bool {
+	free, _ := c.allocator.Free(ex.ID)
+	return st.hasSlowAdvice() && st.fitsBesidePromises(ex, free.CPUMillis) == 0
+}
+
 // newAdviceRequest selects the executors to ask for; nil means that a call would not help.
 func (c *Core) newAdviceRequest(now time.Time, st *stepState) *AdviceRequest {
 	renewBefore := now.Add(ticketMargin + st.queue.Advice.LatencyPerExecutor*usualAdviceExecutors + st.queue.Advice.BaseLatency)
 	placeable := 0
 	var options []option
 	neededCPU := st.spec.Reserved().CPUMillis
-	slow := st.queue.Advice.BaseLatency > slowAdvice
+	slow := st.hasSlowAdvice()
 	for _, roomy := range c.roomyExecutors(now, st) {
 		if roomy.freeCPU < neededCPU {
 			continue
@@ -187,8 +205,7 @@
 		}
 		fits := c.fits(st, ex)
 		if slow {
-			// Calls of other steps that take as long are likely to claim part of the room.
-			fits = min(fits, int(max(roomy.freeCPU-ex.promisedCPU, 0)/max(neededCPU, 1)))
+			fits = min(fits, st.fitsBesidePromises(ex, roomy.freeCPU))
 		}
 		if fits == 0 {
 			continue
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -84,6 +84,7 @@
 		c.Stats.Trials++
 	}
 	c.markStarted(now, st.job)
+	c.observeRestart(now, st, index, ex)
 	st.job.startedRuns++
 	st.job.lastStart = now
 	c.Stats.Starts++
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -285,6 +285,9 @@
 	if kind == fleet.Lost && len(st.unclaimed) > 0 {
 		return // an earlier owner that is cut off may know of the loss and have restarted the task there
 	}
+	if st.spec.LongRunning {
+		st.endedAt[r.task.Index] = now
+	}
 	st.addPending(r.task.Index)
 	c.enqueue(st)
 }
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -79,12 +79,15 @@
 	trialSince, nextTrialAt time.Time
 	trialOverdue            bool
 	// waitingSince is when the step began to wait, see updateWaiting; waitReported is set once that was
-	// logged. impatient is set while the step uses executors that are kept away.
-	waitingSince            time.Time
+	// logged, examineAt is when the reasons are looked for next. impatient is set while the step uses
+	// executors that are kept away.
+	waitingSince, examineAt time.Time
 	waitReported, impatient bool
 	// heldTooLong is set once the step has waited for so long that an owner that is behind no longer holds
 	// it back.
 	heldTooLong bool
+	// endedAt is, by index, when the last run of a long-running task that does not run any more ended.
+	endedAt map[int]time.Time
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
 }
@@ -152,7 +155,7 @@
 	st := &stepState{
 		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.config.Queue(j.Spec.Queue),
 		tickets: make(map[string]ticket), asked: make(map[string]int64), asking: make(map[string]promise),
-		runsOn: make(map[string]int), failuresOn: make(map[string]int),
+		runsOn: make(map[string]int), failuresOn: make(map[string]int), endedAt: make(map[int]time.Time),
 		unclaimed: make(map[string]bool),
 	}
 	if st.queue == nil {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -6,8 +6,12 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
+var restartSeconds = metrics.NewHistogram("long_running_restart_seconds")
+
 const (
 	// waitReportAfter is how long a step may wait although there is room before that is logged. Callers
 	// take a job for lost after 3 s.
@@ -29,9 +33,15 @@
 	roomyShare = 0.6
 
 	// waitReportInterval is the time between two searches for such steps, and maxWaitReports the
-	// number of steps examined in one of them, since each needs a look at all executors.
-	waitReportInterval = time.Second
-	maxWaitReports     = 8
+	// number of steps of each kind, long-running or not, examined in one of them, since each needs a
+	// look at all executors. waitExamineInterval is the time between two looks at one step.
+	waitReportInterval  = time.Second
+	maxWaitReports      = 8
+	waitExamineInterval = 2 * time.Second
+
+	// waitRepeatInterval is the time after which a long-running step is reported again, since other tasks
+	// of it may wait by then.
+	waitRepeatInterval = 5 * time.Second
 
 	// roomFactor is how many times over there must be room for a step that waits.
 	roomFactor = 2
@@ -62,6 +72,22 @@
 	}
 }
 
+// observeRestart records how long a long-running task did not run between two of its runs.
+func (c *Core) observeRestart(now time.Time, st *stepState, index int, ex *executor) {
+	ended, ok := st.endedAt[index]
+	if !ok {
+		return
+	}
+	delete(st.endedAt, index)
+	gap := now.Sub(ended)
+	restartSeconds.Update(gap.Seconds())
+	if gap > waitReportAfter {
+		c.Log.WithField("job", st.job.ID).WithField("step", st.stepID.Step).WithField("index", index).
+			WithField("executor", ex.ID).WithField("gap_ms", gap.Milliseconds()).WithField("pending", len(st.pending)).
+			Warn("long-running task started again late")
+	}
+}
+
 // resetWaiting records that the step does not wait.
 func (st *stepState) resetWaiting() {
 	st.waitingSince, st.waitReported, st.impatient, st.heldTooLong = time.Time{}, false, false, false
@@ -73,27 +99,27 @@
 	return float64(granted.CPUMillis) < roomyShare*float64(capacity.CPUMillis)
 }
 
-// reportWaiting logs the steps that wait although there is room, with the reasons, and counts them.
+// reportWaiting logs the steps that wait although there is room, with the reasons, and counts them. A backlog
+// of other steps does not keep long-running ones from being examined.
 func (c *Core) reportWaiting(now time.Time) {
 	if now.Sub(c.waitReportedAt) < waitReportInterval {
 		return
 	}
 	c.waitReportedAt = now
-	examined := 0
-	for _, st := range c.runnable {
-		if st.waitReported || st.waitingSince.IsZero() || now.Sub(st.waitingSince) < waitReportAfter {
+	examined := make(map[bool]int)
+	for position, st := range c.runnable {
+		if st.waitingSince.IsZero() || now.Sub(st.waitingSince) < waitReportAfter || now.Before(st.examineAt) ||
+			st.waitReported && !st.spec.LongRunning || examined[st.spec.LongRunning] == maxWaitReports {
 			continue
 		}
-		if examined == maxWaitReports {
-			return
-		}
-		examined++
-		c.reportStep(now, st)
+		examined[st.spec.LongRunning]++
+		c.examineStep(now, st, position)
 	}
 }
 
-// reportStep logs why a step waits if there is room for it.
-func (c *Core) reportStep(now time.Time, st *stepState) {
+// examineStep logs why a step waits if there is room for it.
+func (c *Core) examineStep(now time.Time, st *stepState, position int) {
+	st.examineAt = now.Add(waitExamineInterval)
 	reasons := make(map[string]int)
 	room := 0
 	for _, ex := range c.sortedExecutors {
@@ -115,18 +141,21 @@
 	if room < roomFactor*need {
 		return
 	}
+	if !st.waitReported {
+		c.Stats.StepsWaited++
+	}
 	st.waitReported = true
-	c.Stats.StepsWaited++
+	st.examineAt = now.Add(waitRepeatInterval)
 	var why []string
 	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
 		why = append(why, reason+" "+strconv.Itoa(reasons[reason]))
 	}
 	c.Log.WithField("job", st.job.ID).WithField("step", st.stepID.Step).WithField("queue", st.queue.Name).
-		WithField("pending", len(st.pending)).WithField("gang", st.spec.Gang).
+		WithField("pending", len(st.pending)).WithField("gang", st.spec.Gang).WithField("long_running", st.spec.LongRunning).
 		WithField("waited_ms", now.Sub(st.waitingSince).Milliseconds()).WithField("room", room).
 		WithField("why", strings.Join(why, ", ")).WithField("suspects", st.hasSuspects()).
 		WithField("reserve_left", c.leavesReserve(st, need)).WithField("calls", st.adviceInFlight).
-		Warn("step waits although there is room")
+		WithField("position", position).Warn("step waits although there is room")
 }
 
 // obstacle returns why the step starts no task on an executor, and whether the room there counts as room
@@ -162,6 +191,8 @@
 		return "short lease", true
 	case asking:
 		return "advice in progress", true
+	case st.queue.Advice != nil && !c.hasTicket(now, st, ex) && c.isPromised(st, ex):
+		return "promised to other calls", true
 	case st.queue.Advice != nil && !asked:
 		return "not asked", true
 	case st.queue.Advice != nil && !c.hasTicket(now, st, ex):
