internal/cell: calls of later steps keep no step from asking the policy service

Cause: room that slow calls in flight are expected to claim was subtracted for every step, also where the call is for a step that comes later in the scheduling order. Beside a backlog of less important steps all free room is promised, so the step at the front of the order could ask for none of it, although its tasks are placed before those of the others.

Promises are kept by step now, and only those of steps earlier in the order count.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -175,9 +175,15 @@
 }
 
 // fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
-// millicores has room beside what other slow calls in flight are likely to claim.
+// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
+// first in scheduling order count: the tasks of the others give way to those of this step.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
-	return int(max(freeCPU-ex.promisedCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
+	for other, cpu := range ex.promises {
+		if schedulesBefore(other, st) {
+			freeCPU -= cpu
+		}
+	}
+	return int(max(freeCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
 }
 
 // isPromised reports whether an executor has room for the step only without what slow calls in flight
@@ -247,7 +253,9 @@
 			p.cpu = int64(share * float64(p.fits) * float64(neededCPU))
 		}
 		st.asking[ex.ID] = p
-		ex.promisedCPU += p.cpu
+		if p.cpu > 0 {
+			ex.promises[st] = p.cpu
+		}
 		req.Executors = append(req.Executors, ex.ID)
 		req.incarnations[ex.ID] = ex.incarnation
 	}
@@ -400,8 +408,7 @@
 	st := req.state
 	st.adviceInFlight--
 	for _, id := range req.Executors {
-		p := st.asking[id]
-		p.ex.promisedCPU -= p.cpu
+		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
 	}
 	st.fullScan = true
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -136,9 +136,9 @@
 	failedAt   time.Time
 	// machineCrashes is the number of crashes of its machine within crashWindow.
 	machineCrashes int
-	// promisedCPU is the CPU in millicores that slow calls to the policy service in flight are expected
-	// to claim here.
-	promisedCPU int64
+	// promises holds, by step, the CPU in millicores that slow calls to the policy service in flight are
+	// expected to claim here.
+	promises map[*stepState]int64
 	// slowdown is the average run time on this executor relative to the estimates; 1 is normal.
 	slowdown float64
 }
@@ -155,7 +155,10 @@
 func (c *Core) SetExecutor(now, written time.Time, e fleet.Executor) {
 	ex := c.executors[e.ID]
 	if ex == nil {
-		ex = &executor{Executor: e, runs: make(map[string]*run), slowdown: 1, machineCrashes: len(c.crashedAt[e.Address])}
+		ex = &executor{
+			Executor: e, runs: make(map[string]*run), promises: make(map[*stepState]int64), slowdown: 1,
+			machineCrashes: len(c.crashedAt[e.Address]),
+		}
 		c.executors[e.ID] = ex
 		i, _ := slices.BinarySearchFunc(c.sortedExecutors, e.ID, func(ex *executor, id string) int { return cmp.Compare(ex.ID, id) })
 		c.sortedExecutors = slices.Insert(c.sortedExecutors, i, ex)
