internal/cell: a call promises no more room than its step has tasks for

Cause: a slow call promised the allowed share of all the room of each executor that it names. A single task asks for eight executors, so it promised the room of many. Calls for 20 single tasks left nothing to ask for on 20 executors that have room for 160 of them.

The promises of a call add up to its pending tasks at most. TestCallsPromiseNoMoreThanTheirStepsNeed failed before and passes. Its wide step has 60 tasks now instead of 40: with the same bound of 18 executors, 40 tasks need only 17 by the expected share, so the bound asked for more than the step needs; with 60 the code before the fix still asks for none.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -247,18 +247,15 @@
 		return nil
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	for _, ex := range chooseExecutors(options, int(expected), need, share, maxAdviceExecutors) {
-		p := promise{ex: ex, fits: c.fits(st, ex)}
-		if slow {
-			p.cpu = int64(share * float64(p.fits) * float64(neededCPU))
-		}
-		st.asking[ex.ID] = p
-		if p.cpu > 0 {
-			ex.promises[st] = p.cpu
-		}
+	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors)
+	for _, ex := range chosen {
+		st.asking[ex.ID] = promise{ex: ex, fits: c.fits(st, ex)}
 		req.Executors = append(req.Executors, ex.ID)
 		req.incarnations[ex.ID] = ex.incarnation
 	}
+	if slow {
+		st.promiseRoom(chosen, share)
+	}
 	req.toRecord = req.Executors
 	if widest := st.job.Spec.WidestStep(); widest > need {
 		req.toRecord = nil
@@ -269,6 +266,22 @@
 	return req
 }
 
+// promiseRoom records what a slow call for the step is expected to claim of the executors that it names: in
+// all no more than its pending tasks need, since a single task asks for several executors.
+func (st *stepState) promiseRoom(named []*executor, share float64) {
+	total := 0.0
+	for _, ex := range named {
+		total += share * float64(st.asking[ex.ID].fits)
+	}
+	if total == 0 {
+		return
+	}
+	perTask := share * min(1, float64(len(st.pending))/total) * float64(st.spec.Reserved().CPUMillis)
+	for _, ex := range named {
+		ex.promises[st] = int64(perTask * float64(st.asking[ex.ID].fits))
+	}
+}
+
 // recordingPenalty prefers executors that the store already names for the job: tasks can start
 // there without a commit.
 func (c *Core) recordingPenalty(j *job, ex *executor) float64 {
--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -66,7 +66,7 @@
 	sim.advance(100 * time.Millisecond)
 	for o.core.NextAdviceRequest(sim.now, false) != nil {
 	}
-	sim.submit(o, "wide", singleStep(slowQueue, 40, 5*time.Second))
+	sim.submit(o, "wide", singleStep(slowQueue, 60, 5*time.Second))
 	sim.advance(100 * time.Millisecond)
 	req := o.core.NextAdviceRequest(sim.now, false)
 	assert.Assert(t, req != nil)
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -92,12 +92,11 @@
 	failuresOn map[string]int
 }
 
-// promise is what a call to the policy service in flight is expected to claim of an executor.
+// promise is an executor named in a call to the policy service in flight, with the number of tasks that fit
+// there.
 type promise struct {
-	ex *executor
-	// fits is the number of tasks that fit there, cpu their expected use in millicores.
+	ex   *executor
 	fits int
-	cpu  int64
 }
 
 // ticket allows the step on one incarnation of an executor.
