peer: reads and writes end as soon as their connection begins to close

An owner whose domain is cut off loses the connections of all its followers at once.

The streams of a session now get an expired deadline before the connection is closed.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -46,7 +46,7 @@
 type connection struct {
 	slots   chan struct{}
 	mu      sync.Mutex
-	session *yamux.Session
+	session *session
 }
 
 // Call sends req to the instance at address and waits for the response until ctx is done. If
@@ -79,13 +79,13 @@
 	return context.WithTimeout(ctx, defaultCallTimeout)
 }
 
-func roundTrip(ctx context.Context, stream *yamux.Stream, req *wire.Request) (*wire.Response, Outcome, error) {
+func roundTrip(ctx context.Context, stream *stream, req *wire.Request) (*wire.Response, Outcome, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, NotSent, errors.Wrap(err, "peer: call ended before it was sent")
 	}
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expired) })
 	defer stop()
 
 	if remaining := time.Until(deadline).Milliseconds(); req.DeadlineMs == 0 && remaining > 0 {
@@ -126,12 +126,12 @@
 }
 
 // openStream opens a stream, on a new connection if there is none or it has been closed.
-func (c *Client) openStream(ctx context.Context, conn *connection, address string) (*yamux.Stream, error) {
+func (c *Client) openStream(ctx context.Context, conn *connection, address string) (*stream, error) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.session != nil && !conn.session.IsClosed() {
-		if stream, err := conn.session.OpenStream(); err == nil {
-			return stream, nil
+		if st, err := conn.session.open(); err == nil {
+			return st, nil
 		}
 		_ = conn.session.Close()
 	}
@@ -139,14 +139,14 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer: unable to connect to %s", address)
 	}
-	session, err := yamux.Client(netConn, sessionConfig())
+	s, err := newSession(netConn, yamux.Client)
 	if err != nil {
 		_ = netConn.Close()
 		return nil, errors.Wrapf(err, "peer: unable to open session with %s", address)
 	}
-	conn.session = session
-	stream, err := session.OpenStream()
-	return stream, errors.Wrapf(err, "peer: unable to open stream to %s", address)
+	conn.session = s
+	st, err := s.open()
+	return st, errors.Wrapf(err, "peer: unable to open stream to %s", address)
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -67,7 +67,7 @@
 
 // ServeConn handles the calls of one connection until it closes or ctx is cancelled.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := newSession(conn, yamux.Server)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -80,7 +80,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
-		stream, err := session.AcceptStream()
+		stream, err := session.accept()
 		if err != nil {
 			return
 		}
@@ -95,7 +95,7 @@
 	return DefaultMaxInFlight
 }
 
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, slots chan struct{}) {
+func (s *Server) serveStream(ctx context.Context, stream *stream, slots chan struct{}) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(requestReadTimeout))
 	var req wire.Request
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/daisyrack/daisyrack/pkg/wire"
@@ -15,7 +14,7 @@
 // Stream is a sequence of messages in both directions that lasts longer than one call. Send and
 // Receive may be called concurrently with each other.
 type Stream struct {
-	stream *yamux.Stream
+	stream *stream
 	closed atomic.Bool
 }
 
@@ -69,5 +68,5 @@
 func (s *Stream) Close() {
 	s.closed.Store(true)
 	_ = s.stream.Close()
-	_ = s.stream.SetReadDeadline(time.Unix(1, 0))
+	_ = s.stream.SetReadDeadline(expired)
 }
