--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -421,6 +422,10 @@
 func (c *Core) ApplyAdvice(now time.Time, req *AdviceRequest, tickets []fleet.Ticket, validity time.Duration, ok bool) {
 	st := req.state
 	st.adviceInFlight--
+	tickets = slices.DeleteFunc(slices.Clone(tickets), func(t fleet.Ticket) bool {
+		_, asked := req.incarnations[t.Executor]
+		return !asked // the job's record must not grow with names that nobody asked for
+	})
 	allowed := make(map[string]bool, len(tickets))
 	for _, t := range tickets {
 		allowed[t.Executor] = true
