--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -430,7 +430,10 @@
 	for _, t := range tickets {
 		allowed[t.Executor] = true
 	}
-	c.releaseRoom(now, req, allowed)
+	if validity <= 0 && st.queue.Advice != nil {
+		validity = st.queue.Advice.TicketTTL
+	}
+	c.extendHolds(now, req, allowed, validity)
 	for _, id := range req.Executors {
 		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
@@ -459,9 +462,6 @@
 		s.value += allowedShareWeight * (float64(newlyAllowed)/float64(newlyAsked) - s.value)
 		s.value = max(s.value, 0.05)
 	}
-	if validity <= 0 && st.queue.Advice != nil {
-		validity = st.queue.Advice.TicketTTL
-	}
 	ids := make([]string, 0, len(tickets))
 	for _, t := range tickets {
 		ids = append(ids, t.Executor)
