internal/cell: promises of ended jobs and of fractions of a task keep nobody from asking

A cancelled job's call went on promising room until it returned, 1 to 2 s, and where one task fits on an executor any small promise took its place: of six single tasks on 30 executors with room for one task each, the first four asked for all of them and the others for none.

Steps without pending tasks no longer count, and the room beside promises is rounded to the nearest whole task, since promises are expectations. Executors that denied a step are left out before their room is looked at, which is the dearer test.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -176,15 +176,17 @@
 }
 
 // fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
-// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
-// first in scheduling order count: the tasks of the others give way to those of this step.
+// millicores has room beside what slow calls in flight are likely to claim, to the nearest whole task. Only
+// calls for steps that come first in scheduling order count: the tasks of the others give way to those of
+// this step.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
 	for other, cpu := range ex.promises {
-		if schedulesBefore(other, st) {
+		if len(other.pending) > 0 && schedulesBefore(other, st) {
 			freeCPU -= cpu
 		}
 	}
-	return int(max(freeCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
+	need := max(st.spec.Reserved().CPUMillis, 1)
+	return int((max(freeCPU, 0) + need/2) / need)
 }
 
 // isPromised reports whether an executor has room for the step only without what slow calls in flight
@@ -210,6 +212,11 @@
 		if !st.matches(ex) || ex.isKeptAway(now) && !st.impatient {
 			continue
 		}
+		t, ticketValid := st.tickets[id]
+		ticketValid = ticketValid && t.incarnation == ex.incarnation
+		if askedIncarnation, seen := st.asked[id]; seen && askedIncarnation == ex.incarnation && !ticketValid {
+			continue // denied
+		}
 		fits := c.fits(st, ex)
 		if slow {
 			fits = min(fits, st.fitsBesidePromises(ex, roomy.freeCPU))
