internal/cell: the wait between two looks at a step is bounded

It grew with the position in the scheduling order without a limit, 1.5 s at position 300 and 6 s while the owner is behind, and stayed when the step moved to the front. By reading only; it is 0.5 s at most now.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -54,6 +54,10 @@
 	// adviceRecheckSteps is the number of steps in scheduling order after which the interval grows.
 	adviceRecheckSteps = 4
 
+	// maxRecheckDelay limits the interval for steps far back in the order, which may move to the front
+	// meanwhile.
+	maxRecheckDelay = 500 * time.Millisecond
+
 	// roomyInterval is how long a list of executors with room is used, for each executor of the fleet,
 	// since the time that it takes to make the list grows with the fleet.
 	roomyInterval = 5 * time.Microsecond
@@ -116,8 +120,8 @@
 			return req
 		}
 		// Steps far back in the order find room only when those before them do not need it.
-		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval)
-		st.nextAdviceAt = now.Add(recheck * time.Duration(1+i/adviceRecheckSteps))
+		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval) * time.Duration(1+i/adviceRecheckSteps)
+		st.nextAdviceAt = now.Add(min(recheck, maxRecheckDelay))
 	}
 	return nil
 }
