internal/cell: long-running steps that wait keep tickets for executors without room

With wide steps (5 to 34 tasks, one for each executor; 'wide apart 1' of TestLongRunningTasksRestartBesideBacklog) tasks waited for 3 s with room for two at any moment: each call takes 0.6 s, in which the room that it was made for is taken by later steps with tickets, while other room becomes free that the step has not asked for.

A long-running step that has waited for a second renews its tickets for up to 20 executors that are known to be allowed, whether they have room or not. It is first in order, so it starts there as soon as there is room. 'wide apart 1' failed before with 26 tasks and passes.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,6 +31,10 @@
 	// would allow none.
 	spareForOne = 6
 
+	// maxStandbyExecutors is the number of executors without room for which a long-running step that waits
+	// keeps tickets.
+	maxStandbyExecutors = 20
+
 	// capacityFactor is the capacity to request relative to the pending tasks, since other steps
 	// may take part of it first.
 	capacityFactor = 1.15
@@ -228,8 +233,6 @@
 		if fits == 0 {
 			continue
 		}
-		t, ticketValid := st.tickets[id]
-		ticketValid = ticketValid && t.incarnation == ex.incarnation
 		if ticketValid && renewBefore.Before(t.until) || ticketValid && now.Add(ticketMargin).Before(t.until) {
 			placeable += fits
 			continue
@@ -237,17 +240,14 @@
 		if _, inFlight := st.asking[id]; inFlight {
 			continue
 		}
-		askedIncarnation, seen := st.asked[id]
-		if seen && askedIncarnation == ex.incarnation && !ticketValid {
-			continue
-		}
 		options = append(options, option{ex: ex, fits: fits, allowed: ticketValid, penalty: penalty(st, ex) + c.recordingPenalty(st.job, ex)})
 	}
 	need := len(st.pending)
-	if placeable >= need || len(options) == 0 {
+	if placeable >= need {
 		return nil
 	}
-	if st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
+	standby := c.standbyExecutors(now, st, renewBefore)
+	if len(options)+len(standby) == 0 || st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
 		return nil
 	}
 	share := c.allowedShareOf(st.queue.Name).value
@@ -259,7 +259,12 @@
 		return nil
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors)
+	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors-len(standby))
+	for _, ex := range standby {
+		if !slices.Contains(chosen, ex) {
+			chosen = append(chosen, ex)
+		}
+	}
 	for _, ex := range chosen {
 		st.asking[ex.ID] = promise{ex: ex, fits: c.fits(st, ex)}
 		req.Executors = append(req.Executors, ex.ID)
@@ -279,6 +284,29 @@
 	return req
 }
 
+// standbyExecutors returns executors that are known to be allowed for a long-running step that has been
+// waiting, and whose tickets run out. Without them, room that becomes free there is taken by later steps
+// before the step can ask for it.
+func (c *Core) standbyExecutors(now time.Time, st *stepState, renewBefore time.Time) []*executor {
+	if !st.spec.LongRunning || !st.impatient {
+		return nil
+	}
+	var out []*executor
+	for _, id := range slices.Sorted(maps.Keys(st.tickets)) {
+		ex, t := c.executors[id], st.tickets[id]
+		if ex == nil || t.incarnation != ex.incarnation || renewBefore.Before(t.until) || !c.isEligible(now, st, ex) {
+			continue
+		}
+		if _, inFlight := st.asking[id]; inFlight || !st.spec.Reserved().Fits(ex.Capacity) {
+			continue
+		}
+		if out = append(out, ex); len(out) == maxStandbyExecutors {
+			break
+		}
+	}
+	return out
+}
+
 // promiseRoom records what a slow call for the step is expected to claim of the executors that it names: in
 // all no more than its pending tasks need, since a single task asks for several executors.
 func (st *stepState) promiseRoom(named []*executor, share float64) {
--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -73,29 +73,78 @@
 	assert.Assert(t, len(req.Executors) >= 18, "%d of 20 executors are asked for", len(req.Executors))
 }
 
-// A long-running task whose run failed must start again while there is room, beside a backlog of long jobs.
+// A call for a job that has ended must not keep other steps from asking.
+func TestCallsOfEndedJobsPromiseNothing(t *testing.T) {
+	sim := newStandingFleet(t, 1, 20)
+	sim.advisers = 0
+	o := sim.takeOver()
+	sim.advance(time.Second)
+	sim.submit(o, "cancelled", standingJob(40, place.Resources{CPUMillis: 7600, MemoryMB: 16000}))
+	sim.advance(100 * time.Millisecond)
+	assert.Assert(t, o.core.NextAdviceRequest(sim.now, false) != nil)
+	o.core.Cancel(sim.now, "cancelled", func(cell.Reply) {})
+	sim.submit(o, "next", standingJob(1, place.Resources{CPUMillis: 9000, MemoryMB: 16000}))
+	sim.advance(100 * time.Millisecond)
+	req := o.core.NextAdviceRequest(sim.now, false)
+	assert.Assert(t, req != nil)
+	assert.Equal(t, req.Step.Job, "next")
+}
+
+// Where one task fits on each executor, calls for few tasks must not keep later steps from asking.
+func TestSmallPromisesLeaveRoomForOneTask(t *testing.T) {
+	sim := newStandingFleet(t, 1, 30)
+	sim.advisers = 0
+	o := sim.takeOver()
+	sim.advance(time.Second)
+	for i := range 6 {
+		sim.submit(o, fmt.Sprintf("standing%d", i), standingJob(1, place.Resources{CPUMillis: 15500, MemoryMB: 16000}))
+	}
+	sim.advance(100 * time.Millisecond)
+	for i := range 6 {
+		req := o.core.NextAdviceRequest(sim.now, false)
+		assert.Assert(t, req != nil, "call %d", i)
+		assert.Assert(t, len(req.Executors) >= 7, "call %d names %d executors", i, len(req.Executors))
+	}
+}
+
+// Long-running tasks must start, and start again after a failed run, while there is room, beside a backlog of
+// long jobs.
 func TestLongRunningTasksRestartBesideBacklog(t *testing.T) {
-	for _, seed := range []uint64{0, 1, 6} {
-		sim := newStandingFleet(t, seed, 150)
-		sim.lastingFailureShare = 0.3
-		o := sim.takeOver()
-		w := &waitingCheck{
-			sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time),
-			reported: make(map[string]bool), calmFrom: sim.now,
-		}
-		sim.schedule(waitingCheckInterval, w.check)
-		sim.advance(time.Second)
-		for _, l := range ordinaryLoad(150) {
-			sim.submitLoad(o, l, 30*time.Second)
-		}
-		sim.submitLoad(o, workload{queue: slowQueue, rate: 4, steps: 2, count: 14, estimate: 6 * time.Second, cpuMillis: 4500}, 20*time.Second)
-		for i := range 6 {
-			id := fmt.Sprintf("standing%d", i)
-			w.ids = append(w.ids, id)
-			w.replies[id] = sim.submit(o, id, standingJob(1+sim.rng.IntN(12), place.Resources{CPUMillis: 7600, MemoryMB: 16000}))
-			sim.advance(3 * time.Second)
+	for _, c := range []struct {
+		name                      string
+		seeds                     []uint64
+		minCount, counts, perExec int
+	}{
+		{"narrow", []uint64{0, 1, 6}, 1, 12, 0},
+		{"wide", []uint64{0}, 5, 30, 0},
+		{"wide apart", []uint64{1}, 5, 30, 1},
+	} {
+		for _, seed := range c.seeds {
+			t.Run(fmt.Sprint(c.name, " ", seed), func(t *testing.T) {
+				sim := newStandingFleet(t, seed, 150)
+				sim.lastingFailureShare = 0.3
+				o := sim.takeOver()
+				w := &waitingCheck{
+					sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time),
+					reported: make(map[string]bool), calmFrom: sim.now,
+				}
+				sim.schedule(waitingCheckInterval, w.check)
+				sim.advance(time.Second)
+				for _, l := range ordinaryLoad(150) {
+					sim.submitLoad(o, l, 30*time.Second)
+				}
+				sim.submitLoad(o, workload{queue: slowQueue, rate: 4, steps: 2, count: 14, estimate: 6 * time.Second, cpuMillis: 4500}, 20*time.Second)
+				for i := range 6 {
+					id := fmt.Sprintf("standing%d", i)
+					w.ids = append(w.ids, id)
+					spec := standingJob(c.minCount+sim.rng.IntN(c.counts), place.Resources{CPUMillis: 7600, MemoryMB: 16000})
+					spec.Steps[0].MaxPerExecutor = c.perExec
+					w.replies[id] = sim.submit(o, id, spec)
+					sim.advance(3 * time.Second)
+				}
+				sim.advance(60 * time.Second)
+				sim.expectNoViolations()
+			})
 		}
-		sim.advance(60 * time.Second)
-		sim.expectNoViolations()
 	}
 }
