internal/cell: a fleet with little room keeps no long-running task waiting

waitingCheck learns what this needs: capacities that differ by executor, the time that a failed run may take to be restarted, and one report for each step. What it computes has not changed; room is looked for only for work that waits.

--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -164,7 +164,11 @@
 func (sim *simulation) allows(step fleet.StepID, id string) bool {
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, step, machineOf(id))
-	return sim.allowedShare == 0 || float64(h.Sum32()%1000) < sim.allowedShare*1000
+	share, ok := sim.allowedShares[specs[sim.t.Name()+step.Job].Queue]
+	if !ok {
+		share = sim.allowedShare
+	}
+	return sim.allowedShare == 0 || float64(h.Sum32()%1000) < share*1000
 }
 
 func (o *owner) commit() {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -65,7 +65,9 @@
 	// allowedShare is the share of executors that the policy service allows; 0 means no policy
 	// service.
 	allowedShare float64
-	submitted    int
+	// allowedShares holds the shares of queues for which it differs from allowedShare.
+	allowedShares map[string]float64
+	submitted     int
 	// submittedTo holds the IDs of the submitted jobs, by queue.
 	submittedTo map[string]map[string]bool
 	// failureShare is the share of runs that fail on their own.
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -41,6 +41,25 @@
 	since    map[string]time.Time
 	reported map[string]bool
 	poison   bool
+	// restartTime is how long after its last run a long-running task may start before it counts as waiting.
+	restartTime time.Duration
+	// full holds the usual capacity of each machine.
+	full map[string]place.Resources
+	// longest is the longest wait of a long-running task that could start, and longestTask that task.
+	longest     time.Duration
+	longestTask string
+}
+
+// newWaitingCheck returns a check of the jobs submitted from now on.
+func newWaitingCheck(sim *simulation) *waitingCheck {
+	w := &waitingCheck{
+		sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time), reported: make(map[string]bool),
+		calmFrom: sim.now, restartTime: lastingRestartTime - maxWait, full: make(map[string]place.Resources),
+	}
+	for _, x := range sim.sortedExecutors() {
+		w.full[machineOf(x.ID)] = x.Capacity
+	}
+	return w
 }
 
 // Work that can start must not wait for longer than maxWait while the cell is calm, and no job may be
@@ -69,10 +88,7 @@
 			}
 		}
 	}
-	w := &waitingCheck{
-		sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time), reported: make(map[string]bool),
-		calmFrom: sim.now,
-	}
+	w := newWaitingCheck(sim)
 	sim.takeOver()
 	sim.schedule(waitingCheckInterval, w.check)
 	sim.advance(time.Second)
@@ -138,8 +154,12 @@
 	case sim.seed%4 >= 2 && sim.rng.Float64() < 0.05:
 		sim.deadly[fleet.TaskID{Job: id}] = true
 	}
+	w.submitSpec(id, spec)
+}
+
+func (w *waitingCheck) submitSpec(id string, spec flow.Spec) {
 	w.ids = append(w.ids, id)
-	w.replies[id] = sim.submit(w.owner(), id, spec)
+	w.replies[id] = w.sim.submit(w.owner(), id, spec)
 }
 
 func (w *waitingCheck) randomSpec() flow.Spec {
@@ -220,15 +240,15 @@
 		sim.schedule(d, func() { x.failAll = false })
 		w.disrupt(d)
 	case 4: // executors shrink
-		full := place.Resources{CPUMillis: 8000, MemoryMB: 16000}
 		for _, other := range all {
 			if rng.IntN(3) == 0 {
-				other.resize(sim, place.Resources{CPUMillis: 1000 * int64(1+rng.IntN(5)), MemoryMB: 4000})
+				full := w.full[machineOf(other.ID)]
+				other.resize(sim, place.Resources{CPUMillis: full.CPUMillis / 8 * int64(1+rng.IntN(5)), MemoryMB: full.MemoryMB / 4})
 			}
 		}
 		sim.schedule(d, func() {
 			for _, other := range sim.sortedExecutors() {
-				other.resize(sim, full)
+				other.resize(sim, w.full[machineOf(other.ID)])
 			}
 		})
 		w.disrupt(d + beatInterval)
@@ -337,28 +357,37 @@
 	if w.done(id, spec, step) {
 		return
 	}
-	room := w.fits(id, spec, step, free)
 	if !s.LongRunning {
 		need := 1
 		if s.Gang {
 			need = s.Count
 		}
-		w.record(fmt.Sprintf("%s step %d", id, step), !w.jobRuns(id, spec) && !full && room >= 2*need)
+		waits := !full && !w.jobRuns(id, spec) && w.fits(id, spec, step, free) >= 2*need
+		key := fmt.Sprintf("%s step %d", id, step)
+		w.record(key, key, waits)
 		return
 	}
+	room := -1
 	for i := range s.Count {
 		runs := w.sim.history[fleet.TaskID{Job: id, Step: step, Index: i}]
-		waits := room >= 2
+		waits := true
 		if n := len(runs); n > 0 {
 			last := runs[n-1]
-			waits = waits && !last.open && w.sim.now.Sub(last.end) >= lastingRestartTime-maxWait
+			waits = !last.open && w.sim.now.Sub(last.end) >= w.restartTime
+		}
+		if waits && room < 0 {
+			room = w.fits(id, spec, step, free)
+		}
+		key := fmt.Sprintf("%s step %d task %d after %d runs", id, step, i, len(runs))
+		w.record(key, fmt.Sprintf("%s step %d", id, step), waits && room >= 2)
+		if since, ok := w.since[key]; ok && w.sim.now.Sub(since) > w.longest {
+			w.longest, w.longestTask = w.sim.now.Sub(since), key
 		}
-		w.record(fmt.Sprintf("%s step %d task %d", id, step, i), waits)
 	}
 }
 
-// record records whether work waits, and reports it once if it has waited for too long.
-func (w *waitingCheck) record(key string, waits bool) {
+// record records whether work waits, and reports it if it has waited for too long, once for each step.
+func (w *waitingCheck) record(key, step string, waits bool) {
 	now := w.sim.now
 	if !waits || now.Before(w.calmFrom.Add(calmTime)) {
 		delete(w.since, key)
@@ -369,8 +398,8 @@
 		w.since[key] = now
 		return
 	}
-	if now.Sub(since) > maxWait && !w.reported[key] {
-		w.reported[key] = true
+	if now.Sub(since) > maxWait && !w.reported[step] {
+		w.reported[step] = true
 		w.sim.addViolation("%s waits and could start", key)
 	}
 }
