internal/cell: tests of long-running tasks share a queue and the check

TestLongRunningTasksRestartBesideBacklog built its waitingCheck by hand, without the restart time that newWaitingCheck sets.

--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -7,7 +7,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -79,10 +78,7 @@
 		sim := newStandingFleet(t, seed, 150)
 		sim.lastingFailureShare = 0.3
 		o := sim.takeOver()
-		w := &waitingCheck{
-			sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time),
-			reported: make(map[string]bool), calmFrom: sim.now,
-		}
+		w := newWaitingCheck(sim)
 		sim.schedule(waitingCheckInterval, w.check)
 		sim.advance(time.Second)
 		for _, l := range ordinaryLoad(150) {
--- a/internal/cell/scarce_test.go
+++ b/internal/cell/scarce_test.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	lastingQueue = "lasting"
-
 	// scarceLength is how long jobs arrive. The last burst lasts to the end, so that a backlog remains.
 	scarceLength = 24 * time.Second
 
@@ -52,7 +50,7 @@
 	sim.failureShare, sim.lastingFailureShare = 0.03, 0.1
 	sim.allowedShare, sim.allowedShares = 0.35, map[string]float64{testQueue: 0.7}
 	sim.config.Queues = append(sim.config.Queues, fleet.Queue{
-		Name: lastingQueue, Service: testService, Priority: 1, MaxAttempts: 3, Stretch: 1.5, Slack: time.Second,
+		Name: standingQueue, Service: testService, Priority: 1, MaxAttempts: 3, Stretch: 1.5, Slack: time.Second,
 	})
 	for i, base := range []time.Duration{38, 494, 585} {
 		perExecutor := []time.Duration{500, 7000, 8450}[i]
@@ -188,5 +186,5 @@
 	if l.rng.Float64() < 0.7 {
 		s.MaxPerExecutor = int(l.between(1, 2))
 	}
-	return flow.Spec{Queue: lastingQueue, Text: "text", Steps: []flow.StepSpec{s}}
+	return flow.Spec{Queue: standingQueue, Text: "text", Steps: []flow.StepSpec{s}}
 }
