--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -256,6 +257,7 @@
 	if slow {
 		st.promiseRoom(chosen, share)
 	}
+	c.holdRoom(now, req)
 	req.toRecord = req.Executors
 	if widest := st.job.Spec.WidestStep(); widest > need {
 		req.toRecord = nil
@@ -420,6 +422,15 @@
 func (c *Core) ApplyAdvice(now time.Time, req *AdviceRequest, tickets []fleet.Ticket, validity time.Duration, ok bool) {
 	st := req.state
 	st.adviceInFlight--
+	tickets = slices.DeleteFunc(slices.Clone(tickets), func(t fleet.Ticket) bool {
+		_, asked := req.incarnations[t.Executor]
+		return !asked // the job's record must not grow with names that nobody asked for
+	})
+	allowed := make(map[string]bool, len(tickets))
+	for _, t := range tickets {
+		allowed[t.Executor] = true
+	}
+	c.releaseRoom(now, req, allowed)
 	for _, id := range req.Executors {
 		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
@@ -429,11 +440,7 @@
 		st.nextAdviceAt = now.Add(adviceRetryDelay)
 		return
 	}
-	allowed := make(map[string]bool, len(tickets))
 	newlyAsked, newlyAllowed := 0, 0
-	for _, t := range tickets {
-		allowed[t.Executor] = true
-	}
 	for id, executorIncarnation := range req.incarnations {
 		if _, seen := st.asked[id]; !seen {
 			newlyAsked++
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -23,6 +23,12 @@
 		reply(Reply{Outcome: Rejected, Reason: "queue is not configured", RetryAfter: rejectRetryAfter})
 		return
 	}
+	if err := spec.Validate(); err != nil {
+		c.Stats.Rejected++
+		c.Log.WithField("job", id).WithError(err).Warn("malformed job of another instance rejected")
+		reply(Reply{Outcome: Rejected, Reason: err.Error(), RetryAfter: rejectRetryAfter})
+		return
+	}
 	if c.StoreUnavailable(now) {
 		c.Stats.Rejected++
 		c.Log.WithField("job", id).WithField("store_silent_ms", now.Sub(c.confirmedAt).Milliseconds()).
@@ -108,7 +114,7 @@
 // setQueue sets what the job's queue determines about its urgency.
 func (j *job) setQueue(q *fleet.Queue) {
 	j.priority = q.Priority
-	j.sloDeadline = j.Spec.Accepted.Add(time.Duration(q.Stretch*float64(j.Spec.CriticalPath())) + q.Slack)
+	j.sloDeadline = j.Spec.Accepted.Add(fleet.Times(q.Stretch, j.Spec.CriticalPath())).Add(q.Slack)
 }
 
 // Cancel cancels a job; reply is called when the cancellation is stored.
