internal/cell: long-running steps ask while a call for them is in flight

Cause: a step made one call to the policy service at a time. On a full fleet executors become free a few at a time, and those that did during a call of 0.6 to 1.4 s were not asked for until its end.

TestLongRunningStepAsksWhileItsCallIsInFlight failed before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -22,10 +22,16 @@
 	spareExecutors = 2
 
 	// maxParallelGangAdvice is the maximum number of slow calls in flight for one gang. Its tasks need
-	// tickets that are valid at the same time, and one call often allows too few executors. Other
+	// tickets that are valid at the same time, and one call often allows too few executors. Most other
 	// steps make one call at a time: in a burst the advisers do not suffice for all.
 	maxParallelGangAdvice = 4
 
+	// maxParallelLongRunningAdvice is the same for long-running steps: on a full fleet executors become
+	// free a few at a time, and each would wait for the end of the call in flight. The calls are
+	// longRunningAdviceInterval apart, so that each names more than one of them.
+	maxParallelLongRunningAdvice = 4
+	longRunningAdviceInterval    = 150 * time.Millisecond
+
 	// spareForOne is the same for a step with a single pending task. With two of them one call in six
 	// would allow none.
 	spareForOne = 6
@@ -98,6 +104,9 @@
 		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
+		if st.spec.LongRunning && st.adviceInFlight > 0 && now.Sub(st.askedAt) < longRunningAdviceInterval {
+			continue
+		}
 		slow := st.hasSlowAdvice()
 		if slow && fastOnly {
 			continue
@@ -108,6 +117,7 @@
 		if req := c.newAdviceRequest(now, st); req != nil {
 			req.Slow = slow
 			st.adviceInFlight++
+			st.askedAt = now
 			if !slow {
 				// The executors are stored while the call is in flight.
 				c.recordExecutors(st.job, req.toRecord)
@@ -164,8 +174,13 @@
 
 // maxParallelAdvice returns the maximum number of calls in flight for a step.
 func maxParallelAdvice(st *stepState) int {
-	if st.spec.Gang && st.hasSlowAdvice() {
+	switch {
+	case !st.hasSlowAdvice():
+		return 1
+	case st.spec.Gang:
 		return maxParallelGangAdvice
+	case st.spec.LongRunning:
+		return maxParallelLongRunningAdvice
 	}
 	return 1
 }
--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,6 +54,29 @@
 	assert.Assert(t, len(req.Executors) >= 7, "%d executors are asked for", len(req.Executors))
 }
 
+// A long-running step must ask for executors that become free while a call for it is in flight: on a full
+// fleet the tasks of a wide step waited for one call after the other.
+func TestLongRunningStepAsksWhileItsCallIsInFlight(t *testing.T) {
+	sim := newStandingFleet(t, 1, 4)
+	sim.advisers = 0
+	o := sim.takeOver()
+	sim.advance(time.Second)
+	sim.submit(o, "standing", standingJob(12, place.Resources{CPUMillis: 7600, MemoryMB: 16000}))
+	sim.advance(100 * time.Millisecond)
+	first := o.core.NextAdviceRequest(sim.now, false)
+	assert.Assert(t, first != nil && len(first.Executors) == 4)
+	for i := range 4 {
+		x := sim.addExecutor(fmt.Sprintf("y%d", i))
+		x.Capacity = place.Resources{CPUMillis: 16000, MemoryMB: 65536}
+		o.addExecutor(x)
+	}
+	sim.advance(200 * time.Millisecond)
+	second := o.core.NextAdviceRequest(sim.now, false)
+	assert.Assert(t, second != nil)
+	slices.Sort(second.Executors)
+	assert.DeepEqual(t, second.Executors, []string{"y0", "y1", "y2", "y3"})
+}
+
 // Calls in flight must not promise more room than their steps have tasks for.
 func TestCallsPromiseNoMoreThanTheirStepsNeed(t *testing.T) {
 	sim := newStandingFleet(t, 1, 20)
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -62,6 +62,8 @@
 	// no ticket for it, the policy service did not allow that incarnation.
 	asked          map[string]int64
 	adviceInFlight int
+	// askedAt is when the last call was sent.
+	askedAt time.Time
 	// asking holds the executors named in calls in flight, with the number of tasks that fit there.
 	asking       map[string]promise
 	nextAdviceAt time.Time
