--- a/pkg/place/resources.go
+++ b/pkg/place/resources.go
@@ -1,5 +1,16 @@
 package place
 
+// Limits of the capacity of one worker. They are far above any machine, and the sum over 9 billion
+// workers at the limit still fits into an int64; docs/CAPACITY.md builds towards 4,000.
+const (
+	// MaxCPUMillis is a million cores, in thousandths of a core.
+	MaxCPUMillis = 1_000_000_000
+	// MaxMemoryMB is 2^50 bytes, in units of 2^20 bytes.
+	MaxMemoryMB = 1 << 30
+	// MaxAccelerators is a million accelerators.
+	MaxAccelerators = 1_000_000
+)
+
 // Resources is a vector of the resources of a worker or a task.
 type Resources struct {
 	// CPUMillis is CPU in thousandths of a core.
