pkg/place: odd capacities neither overflow the sums nor coarsen the grid

A capacity counts up to a million cores, 2^50 bytes and a million accelerators, and Adopt refuses a need above that, so that no sum overflows. The grid and the scores follow a reference, the largest capacity up to eight times the median, instead of the largest capacity ever seen.

--- a/pkg/place/bench_test.go
+++ b/pkg/place/bench_test.go
@@ -47,7 +47,11 @@
 }
 
 func benchPlace(b *testing.B, cells, workers int, scale int64, running int) {
-	fleet := benchFleet(cells, workers, scale)
+	benchPlaceIn(b, benchFleet(cells, workers, scale), running)
+}
+
+func benchPlaceIn(b *testing.B, fleet []*place.Cell, running int) {
+	cells := len(fleet)
 	tasks := benchTasks(rand.New(rand.NewPCG(benchSeed, 0)), 1<<16)
 	home := make([]*place.Cell, running)
 	n := 0
--- a/pkg/place/cell.go
+++ b/pkg/place/cell.go
@@ -17,7 +17,7 @@
 	ErrOverCapacity = errors.New("place: grants exceed the capacity")
 	// ErrOnOtherWorker means that the task is already placed on another worker.
 	ErrOnOtherWorker = errors.New("place: task is held by another worker")
-	// ErrInvalid means that a task has no id or a negative need.
+	// ErrInvalid means that a task has no id, or a need that is negative or above the limits.
 	ErrInvalid = errors.New("place: invalid task")
 )
 
@@ -67,6 +67,8 @@
 	// total and granted are sums over all workers.
 	total   Resources
 	granted Resources
+	// typical is the sum over all workers of the capacity up to grid.reference.
+	typical Resources
 }
 
 // worker is an element of the slab Cell.workers. Other structures refer to it by its index.
@@ -135,10 +137,11 @@
 }
 
 // SetWorker adds a worker or updates the capacity and rack of an existing one, which keeps
-// its tasks.
+// its tasks. A capacity outside of 0 to the limits (MaxCPUMillis, MaxMemoryMB, MaxAccelerators)
+// counts as the nearest of them, so that no sum over the workers overflows.
 func (c *Cell) SetWorker(w Worker) {
 	c.prepare()
-	w.Capacity = w.Capacity.positive()
+	w.Capacity = w.Capacity.positive().Min(maxCapacity)
 	c.failed.clear()
 	i, known := c.byName[w.Name]
 	if known {
@@ -153,19 +156,25 @@
 	}
 	c.countRack(c.workers[i].rack, 1)
 	c.schedulable++
-	c.total = c.total.Add(w.Capacity)
+	c.addTotal(Resources{}, w.Capacity)
 	c.resizeGrid(w.Capacity)
 	c.link(i)
 }
 
+// addTotal updates the sums of the capacities for a worker whose capacity changes.
+func (c *Cell) addTotal(from, to Resources) {
+	c.total = c.total.Add(to.Sub(from))
+	c.typical = c.typical.Add(to.Min(c.grid.reference).Sub(from.Min(c.grid.reference)))
+}
+
 func (c *Cell) updateWorker(i int32, w Worker) {
 	c.unlink(i)
 	wk := &c.workers[i]
 	delta := w.Capacity.Sub(wk.capacity)
+	c.addTotal(wk.capacity, w.Capacity)
 	wk.free = wk.free.Add(delta)
 	wk.freeAtStart = wk.freeAtStart.Add(delta)
 	wk.capacity = w.Capacity
-	c.total = c.total.Add(delta)
 	if rk := c.rackOf(w.Rack); rk != wk.rack {
 		c.moveRack(i, rk)
 	}
@@ -208,11 +217,12 @@
 		c.schedulable--
 	}
 	c.unlink(i)
-	c.total = c.total.Sub(c.workers[i].capacity)
+	c.addTotal(c.workers[i].capacity, Resources{})
 	c.countRack(c.workers[i].rack, -1)
 	delete(c.byName, name)
 	c.workers[i] = worker{bucket: none, firstTask: none}
 	c.freeWorkers = append(c.freeWorkers, i)
+	c.resizeGrid(Resources{})
 	return ids
 }
 
@@ -237,7 +247,7 @@
 // exceeds the capacity is accounted for as well, and ErrOverCapacity is returned. After
 // ErrUnknownWorker, ErrOnOtherWorker and ErrInvalid the cell is unchanged.
 func (c *Cell) Adopt(t Task, name string) error {
-	if t.ID == "" || t.Need.negative() {
+	if t.ID == "" || !t.Need.valid() {
 		return errors.Wrapf(ErrInvalid, "task %q", t.ID)
 	}
 	w, ok := c.byName[name]
--- a/pkg/place/check.go
+++ b/pkg/place/check.go
@@ -11,7 +11,7 @@
 // SetWorker with a smaller capacity, ErrOverCapacity. It visits all workers and tasks.
 func (c *Cell) Check() error {
 	tasks := 0
-	var total, granted Resources
+	var total, granted, typical Resources
 	for i := range c.workers {
 		w := &c.workers[i]
 		if !w.inUse {
@@ -24,10 +24,14 @@
 		tasks += n
 		total = total.Add(w.capacity)
 		granted = granted.Add(w.capacity.Sub(w.free))
+		typical = typical.Add(w.capacity.Min(c.grid.reference))
 	}
 	if total != c.total || granted != c.granted {
 		return errors.Wrapf(ErrInconsistent, "total capacity %+v and granted %+v, want %+v and %+v", c.total, c.granted, total, granted)
 	}
+	if typical != c.typical {
+		return errors.Wrapf(ErrInconsistent, "capacity up to the reference %+v, want %+v", c.typical, typical)
+	}
 	if tasks != len(c.byID) {
 		return errors.Wrapf(ErrInconsistent, "%d tasks on workers, %d tasks by id", tasks, len(c.byID))
 	}
--- a/pkg/place/grid.go
+++ b/pkg/place/grid.go
@@ -1,6 +1,9 @@
 package place
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+)
 
 const (
 	// numBuckets is the number of buckets in each dimension of a level, so that the bitmap of
@@ -8,6 +11,9 @@
 	numBuckets = 64
 	// maxLevel is the highest level; it also has the workers with more free accelerators.
 	maxLevel = 16
+	// outlierFactor is how many times the median capacity the grid covers. A larger worker shares
+	// the last buckets; covering it would leave the others too few buckets to tell them apart.
+	outlierFactor = 8
 )
 
 // capacityGrid indexes the workers by free capacity. It has one level for each number of free
@@ -16,14 +22,21 @@
 	levels   []level
 	cpuShift uint
 	memShift uint
-	// cpuNorm, memNorm and accNorm convert amounts to fractions of the largest worker.
+	// cpuNorm, memNorm and accNorm convert amounts to fractions of the reference.
 	cpuNorm float64
 	memNorm float64
 	accNorm float64
 	// cpuWeight and memWeight are cpuNorm and memNorm times the scarcity of the dimension.
 	cpuWeight float64
 	memWeight float64
+	// largest is the maximum over the workers, median the median of those that have any of a
+	// dimension, and reference the largest capacity up to outlierFactor times the median. They may
+	// include workers that were removed since the median was taken.
 	largest   Resources
+	median    Resources
+	reference Resources
+	// changes is the number of changed workers since the median was taken.
+	changes int
 }
 
 type level struct {
@@ -35,35 +48,102 @@
 	heads [numBuckets * numBuckets]int32
 }
 
-// resizeGrid rebuilds the grid with wider buckets when a worker is larger than all before.
+// resizeGrid records that a worker was added, changed or removed. It rebuilds the grid when the
+// reference changes. The median is taken again once half of the workers have changed.
 func (c *Cell) resizeGrid(capacity Resources) {
 	g := &c.grid
-	largest := g.largest.Max(capacity)
-	if largest == g.largest && g.levels != nil {
-		return
+	former, formerLevels := g.reference, g.numLevels()
+	g.changes++
+	g.largest = g.largest.Max(capacity)
+	if 2*g.changes > len(c.byName) {
+		c.measure()
+	} else {
+		g.reference = g.reference.Max(capacity.within(g.median))
+	}
+	if g.levels == nil || g.reference != former || g.numLevels() != formerLevels {
+		c.rebuildGrid()
+	}
+}
+
+// measure sets the largest, median and reference capacity from the present workers.
+func (c *Cell) measure() {
+	g := &c.grid
+	g.changes = 0
+	g.largest, g.reference = Resources{}, Resources{}
+	var cpu, mem, acc []int64
+	for i := range c.workers {
+		capacity := c.workers[i].capacity
+		g.largest = g.largest.Max(capacity)
+		cpu = appendPositive(cpu, capacity.CPUMillis)
+		mem = appendPositive(mem, capacity.MemoryMB)
+		acc = appendPositive(acc, capacity.Accelerators)
+	}
+	g.median = Resources{median(cpu), median(mem), median(acc)}
+	for i := range c.workers {
+		g.reference = g.reference.Max(c.workers[i].capacity.within(g.median))
+	}
+}
+
+// within returns r without the dimensions that exceed outlierFactor times the median.
+func (r Resources) within(median Resources) Resources {
+	if r.CPUMillis > outlierFactor*median.CPUMillis {
+		r.CPUMillis = 0
 	}
-	g.largest = largest
-	g.cpuShift = shiftFor(largest.CPUMillis)
-	g.memShift = shiftFor(largest.MemoryMB)
-	g.cpuNorm = 1 / float64(max(largest.CPUMillis, 1))
-	g.memNorm = 1 / float64(max(largest.MemoryMB, 1))
-	g.accNorm = 1 / float64(max(largest.Accelerators, 1))
-	g.levels = make([]level, min(largest.Accelerators, maxLevel)+1)
+	if r.MemoryMB > outlierFactor*median.MemoryMB {
+		r.MemoryMB = 0
+	}
+	if r.Accelerators > outlierFactor*median.Accelerators {
+		r.Accelerators = 0
+	}
+	return r
+}
+
+func appendPositive(to []int64, n int64) []int64 {
+	if n <= 0 {
+		return to
+	}
+	return append(to, n)
+}
+
+// median returns the lower median, or 0 for no amounts.
+func median(amounts []int64) int64 {
+	if len(amounts) == 0 {
+		return 0
+	}
+	slices.Sort(amounts)
+	return amounts[(len(amounts)-1)/2]
+}
+
+func (g *capacityGrid) numLevels() int64 {
+	return min(g.largest.Accelerators, maxLevel) + 1
+}
+
+// rebuildGrid sizes the buckets for the reference and links all workers again.
+func (c *Cell) rebuildGrid() {
+	g := &c.grid
+	g.cpuShift = shiftFor(g.reference.CPUMillis)
+	g.memShift = shiftFor(g.reference.MemoryMB)
+	g.cpuNorm = 1 / float64(max(g.reference.CPUMillis, 1))
+	g.memNorm = 1 / float64(max(g.reference.MemoryMB, 1))
+	g.accNorm = 1 / float64(max(g.reference.Accelerators, 1))
+	g.levels = make([]level, g.numLevels())
 	for i := range g.levels {
 		for k := range g.levels[i].heads {
 			g.levels[i].heads[k] = none
 		}
 	}
+	c.typical = Resources{}
 	for i := range c.workers {
 		c.workers[i].bucket = none
+		c.typical = c.typical.Add(c.workers[i].capacity.Min(g.reference))
 	}
 	for i := range c.workers {
 		c.link(int32(i))
 	}
 }
 
-// shiftFor returns the right shift that maps 0..largest to the buckets. Where the largest
-// value itself would map beyond the last bucket, bucketIndex clamps it.
+// shiftFor returns the right shift that maps 0..largest to the buckets. bucketIndex clamps the
+// values that map beyond the last bucket.
 func shiftFor(largest int64) uint {
 	if largest < numBuckets {
 		return 0
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -163,18 +163,18 @@
 }
 
 // score rates the capacity left on a worker after a placement; lower is better. It is best
-// fit by the sum of the remaining fractions of the largest worker, weighted by scarcity.
+// fit by the sum of the remaining fractions of the reference, weighted by scarcity.
 func (g *capacityGrid) score(left Resources) float64 {
 	return float64(left.CPUMillis)*g.cpuWeight + float64(left.MemoryMB)*g.memWeight
 }
 
 // updateWeights sets the weight of each dimension in the score to the fourth power of its
 // utilization relative to the most utilized dimension, so that an abundant resource has
-// little influence. Exponents 1 and 2 packed less densely, as did 16 and 32 on workers with
+// little influence. A worker above the reference counts only up to it. Exponents 1 and 2 packed less densely, as did 16 and 32 on workers with
 // little memory (docs/policy.md).
 func (c *Cell) updateWeights() {
-	cpu := utilization(c.granted.CPUMillis, c.total.CPUMillis)
-	mem := utilization(c.granted.MemoryMB, c.total.MemoryMB)
+	cpu := utilization(c.granted.CPUMillis, c.typical.CPUMillis)
+	mem := utilization(c.granted.MemoryMB, c.typical.MemoryMB)
 	highest := max(cpu, mem)
 	c.grid.cpuWeight = c.grid.cpuNorm * pow4(cpu/highest)
 	c.grid.memWeight = c.grid.memNorm * pow4(mem/highest)
@@ -293,7 +293,7 @@
 	return order
 }
 
-// size returns the need as a sum of fractions of the largest worker.
+// size returns the need as a sum of fractions of the reference.
 func (g *capacityGrid) size(need Resources) float64 {
 	return float64(need.CPUMillis)*g.cpuNorm + float64(need.MemoryMB)*g.memNorm + float64(need.Accelerators)*g.accNorm
 }
@@ -309,8 +309,8 @@
 	}
 	var total int64
 	for i := range c.workers {
-		if c.workers[i].inUse {
-			total += countFitting(need, c.workers[i].capacity, int64(count))
+		if c.workers[i].inUse && total < int64(count) {
+			total += countFitting(need, c.workers[i].capacity, int64(count)-total)
 		}
 	}
 	if total >= int64(count) {
--- a/pkg/place/resources.go
+++ b/pkg/place/resources.go
@@ -63,3 +63,11 @@
 func (r Resources) positive() Resources {
 	return r.Max(Resources{})
 }
+
+// maxCapacity is the limit of the capacity of one worker and of the need of one task.
+var maxCapacity = Resources{MaxCPUMillis, MaxMemoryMB, MaxAccelerators}
+
+// valid reports whether a need is neither negative nor above the limits.
+func (r Resources) valid() bool {
+	return !r.negative() && r.Fits(maxCapacity)
+}
