internal/flow: numbers of jobs and of stored rows are limited

A need beyond the largest executor, a name above 200 bytes and a step that follows others more than once are refused with the job; estimates and durations are limited before they are added up. Limits that are new do not apply to stored jobs, which would be lost. Of the occurrences of a job that are due at once 1,000 are open, and no more tasks than one job may have.

Tests and fix go in together. Before the fix: - TestOpenOccurrencesAreLimited: 2,000 occurrences of one task open, all that were due (run without its last case, which would have held 524 million tasks). - TestRepeatedProgressCountsOnce: a record that names a step twice was never completed. - TestStoredNumbersAreLimited: a period beyond int64 nanoseconds became -1ms and the job was not restored.

--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -108,7 +108,7 @@
 // setQueue sets what the job's queue determines about its urgency.
 func (j *job) setQueue(q *fleet.Queue) {
 	j.priority = q.Priority
-	j.sloDeadline = j.Spec.Accepted.Add(time.Duration(q.Stretch*float64(j.Spec.CriticalPath())) + q.Slack)
+	j.sloDeadline = j.Spec.Accepted.Add(fleet.Times(q.Stretch, j.Spec.CriticalPath())).Add(q.Slack)
 }
 
 // Cancel cancels a job; reply is called when the cancellation is stored.
--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -212,6 +212,6 @@
 func crashFromRecord(r *wire.CrashRecord) Crash {
 	return Crash{
 		Run: r.GetRun(), Executor: r.GetExecutor(), AtStart: r.GetAtStart(), Alone: r.GetAlone(), Confirmed: r.GetConfirmed(),
-		At: time.UnixMilli(r.GetAtMs()),
+		At: UnixMilli(r.GetAtMs()),
 	}
 }
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -110,7 +110,7 @@
 	if j.Spec.Occurrences == 0 {
 		return j.Spec.Accepted
 	}
-	return j.Spec.FirstDue.Add(time.Duration(occ) * j.Spec.Period)
+	return j.Spec.FirstDue.Add(fleet.Times(float64(occ), j.Spec.Period))
 }
 
 // NextDue returns when the next occurrence is due, and false if there is none.
@@ -126,7 +126,7 @@
 	var ready []fleet.StepID
 	for {
 		due, ok := j.NextDue()
-		if !ok || j.Spec.Occurrences > 0 && due.After(now) {
+		if !ok || j.Spec.Occurrences > 0 && due.After(now) || j.openIsFull() {
 			return ready
 		}
 		occ := j.nextOccurrence
@@ -136,6 +136,16 @@
 	}
 }
 
+// openIsFull reports whether another occurrence has to wait until one of the open ones has ended.
+func (j *Job) openIsFull() bool {
+	tasks := 0
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].Count
+	}
+	n := len(j.openOccurrences)
+	return n > 0 && (n >= maxOpenOccurrences || (n+1)*tasks > maxOpenTasks)
+}
+
 func (j *Job) newOccurrence() *occurrence {
 	o := &occurrence{steps: make([]stepProgress, len(j.Spec.Steps)), remainingSteps: len(j.Spec.Steps)}
 	for i := range o.steps {
--- /dev/null
+++ b/internal/flow/odd_test.go
@@ -0,0 +1,72 @@
+package flow_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/flow"
+	"github.com/daisyrack/daisyrack/pkg/place"
+	"github.com/daisyrack/daisyrack/pkg/wire"
+)
+
+// All occurrences of a job may be due at once, and opening them all takes more memory than an instance has:
+// a job of 64 steps with 4,096 tasks each, 100,000 times, would hold 26 billion tasks.
+func TestOpenOccurrencesAreLimited(t *testing.T) {
+	for _, c := range []struct{ steps, count, open int }{{1, 1, 1000}, {1, 4096, 64}, {64, 4096, 1}} {
+		spec := flow.Spec{Occurrences: 2000, FirstDue: start}
+		for range c.steps {
+			spec.Steps = append(spec.Steps, step(c.count))
+		}
+		j := flow.NewJob("a", spec, 1)
+		assert.Equal(t, len(j.OpenDue(start)), c.steps*c.open)
+		assert.Equal(t, len(j.OpenDue(start)), 0)
+		for s := range c.steps {
+			for i := range c.count {
+				j.ApplyEnd(start, fleet.TaskID{Job: "a", Step: s, Index: i}, 1, fleet.Done, "")
+			}
+		}
+		assert.Equal(t, len(j.OpenDue(start)), c.steps)
+	}
+}
+
+// A damaged record that names a step or an ended occurrence twice counted it twice, and the job was never
+// completed although all of its tasks were done.
+func TestRepeatedProgressCountsOnce(t *testing.T) {
+	spec := flow.Spec{Queue: "q", Occurrences: 3, FirstDue: start, Steps: []flow.StepSpec{step(1), step(1)}}
+	done := &wire.StepProgress{Occurrence: 0, Step: 0, Done: []byte{1}}
+	ended := &wire.StepProgress{Occurrence: 1, Step: -1}
+	j, err := flow.Restore("a", spec.Record(), &wire.ProgressRecord{
+		State: "pending", Steps: []*wire.StepProgress{done, done, ended, ended, ended},
+	}, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(j.Resume(start)), 3)
+	for _, id := range []fleet.TaskID{{Job: "a", Step: 1}, {Job: "a", Occurrence: 2}} {
+		assert.Assert(t, !j.ApplyEnd(start, id, 1, fleet.Done, "").Final, "%+v", id)
+	}
+	assert.Assert(t, j.ApplyEnd(start, fleet.TaskID{Job: "a", Occurrence: 2, Step: 1}, 1, fleet.Done, "").Final)
+}
+
+// Numbers of a damaged row are limited; a job accepted under other limits is not lost.
+func TestStoredNumbersAreLimited(t *testing.T) {
+	const huge = math.MaxInt64
+	j, err := flow.Restore("a", &wire.JobRecord{
+		Queue: "q", PeriodMs: huge, FirstDueMs: huge, AcceptedMs: huge, Times: 100_000,
+		Steps: []*wire.StepRecord{
+			{Count: 4096, CpuMillis: huge, MemoryMb: huge, Accelerators: huge, EstimateMs: huge, TargetMs: huge},
+			{Count: 1, After: []int64{0, 0, 0}, EstimateMs: huge, Label: string(make([]byte, 300))},
+		},
+	}, &wire.ProgressRecord{State: "pending"}, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, j.Spec.Steps[0].Need, place.Resources{CPUMillis: place.MaxCPUMillis, MemoryMB: place.MaxMemoryMB, Accelerators: place.MaxAccelerators})
+	assert.Assert(t, j.Spec.CriticalPath() > 0 && j.Spec.CriticalPath() <= 2*flow.MaxEstimate, j.Spec.CriticalPath())
+	assert.Assert(t, j.Spec.Period > 0 && j.Spec.Steps[0].LatencyTarget > 0)
+	for occ := range j.Spec.Occurrences {
+		assert.Assert(t, j.Due(occ).After(time.UnixMilli(0)), "occurrence %d is due at %s", occ, j.Due(occ))
+	}
+	last := j.Due(j.Spec.Occurrences - 1)
+	assert.Assert(t, !last.Before(j.Due(0)))
+}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -43,11 +43,11 @@
 // SpecFromRecord is the inverse of Record.
 func SpecFromRecord(r *wire.JobRecord) Spec {
 	s := Spec{
-		Queue: r.GetQueue(), Text: r.GetText(), Period: millis(r.GetPeriodMs()),
-		Occurrences: int(r.GetTimes()), Accepted: time.UnixMilli(r.GetAcceptedMs()),
+		Queue: r.GetQueue(), Text: r.GetText(), Period: fleet.Millis(r.GetPeriodMs()),
+		Occurrences: int(r.GetTimes()), Accepted: UnixMilli(r.GetAcceptedMs()),
 	}
 	if s.Occurrences > 0 {
-		s.FirstDue = time.UnixMilli(r.GetFirstDueMs())
+		s.FirstDue = UnixMilli(r.GetFirstDueMs())
 	}
 	for _, step := range r.GetSteps() {
 		s.Steps = append(s.Steps, stepFromRecord(step))
@@ -60,12 +60,12 @@
 		Count: int(r.GetCount()),
 		Need: place.Resources{
 			CPUMillis: r.GetCpuMillis(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators(),
-		},
-		Estimate:         millis(r.GetEstimateMs()),
+		}.Min(place.Resources{CPUMillis: place.MaxCPUMillis, MemoryMB: place.MaxMemoryMB, Accelerators: place.MaxAccelerators}),
+		Estimate:         fleet.Millis(r.GetEstimateMs()),
 		SavesCheckpoints: r.GetCheckpoints(), Gang: r.GetGang(), SameRack: r.GetSameRack(),
 		AllowConcurrentRuns: r.GetCopies(), LongRunning: r.GetLasts(), BestEffort: r.GetFiller(), RequiredLabel: r.GetLabel(),
 		DataRack: r.GetRack(), MaxPerExecutor: int(r.GetPerExecutor()), Image: r.GetImage(),
-		LatencyTarget: millis(r.GetTargetMs()), MaxUnavailable: int(r.GetMayMiss()),
+		LatencyTarget: fleet.Millis(r.GetTargetMs()), MaxUnavailable: int(r.GetMayMiss()),
 	}
 	for _, dep := range r.GetAfter() {
 		s.DependsOn = append(s.DependsOn, int(dep))
@@ -73,10 +73,6 @@
 	return s
 }
 
-func millis(n int64) time.Duration {
-	return time.Duration(n) * time.Millisecond
-}
-
 // Progress returns the part of the job's state that is stored besides its spec.
 func (j *Job) Progress() *wire.ProgressRecord {
 	r := &wire.ProgressRecord{Queue: j.Spec.Queue, State: j.persistedState().String(), EndedOccurrences: int64(j.endedOccurrences)}
@@ -152,13 +148,13 @@
 	}
 	j.State = state
 	if state.Final() {
-		j.Ended = time.UnixMilli(progress.GetEndedMs())
+		j.Ended = UnixMilli(progress.GetEndedMs())
 		return j, nil
 	}
 	if spec == nil {
 		return nil, errors.Newf("flow: job %s has a progress record but no spec", id)
 	}
-	if err := j.Spec.Validate(); err != nil {
+	if err := j.Spec.validateStructure(); err != nil {
 		return nil, errors.Wrapf(err, "spec of job %s", id)
 	}
 	j.executors = progress.GetExecutors()
@@ -179,23 +175,27 @@
 		j.openOccurrences[j.nextOccurrence] = j.newOccurrence()
 		j.nextOccurrence++
 	}
+	o := j.openOccurrences[k]
+	if o == nil {
+		return nil
+	}
 	if r.GetStep() == occurrenceEndedMarker {
 		delete(j.openOccurrences, k)
 		j.endedOccurrences++
 		return nil
 	}
-	o := j.openOccurrences[k]
-	if o == nil || int(r.GetStep()) >= len(o.steps) {
+	if r.GetStep() >= int64(len(o.steps)) {
 		return nil
 	}
 	p := &o.steps[r.GetStep()]
+	former := p.remaining
 	for i := range p.tasks {
-		if i/8 < len(r.GetDone()) && r.GetDone()[i/8]&(1<<(i%8)) != 0 {
+		if !p.tasks[i].Done && i/8 < len(r.GetDone()) && r.GetDone()[i/8]&(1<<(i%8)) != 0 {
 			p.tasks[i].Done = true
 			p.remaining--
 		}
 	}
-	if p.remaining == 0 {
+	if p.remaining == 0 && former > 0 {
 		o.remainingSteps--
 	}
 	for _, t := range r.GetTasks() {
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -15,8 +15,25 @@
 	maxSteps       = 64
 	maxCount       = 4096
 	maxOccurrences = 100_000
+	// maxOpenOccurrences and maxOpenTasks limit the occurrences of a job that are open at the same time,
+	// beyond the first one. A job whose occurrences are all due at once would take tens of gigabytes.
+	maxOpenOccurrences = 1000
+	maxOpenTasks       = maxSteps * maxCount
+	// MaxNameBytes is the maximum size of a label, a rack or an image. A job at all limits fits into a
+	// row of the store, 64 KiB.
+	MaxNameBytes = 200
+	// MaxEstimate limits the estimated duration of a task; a longer estimate counts as this. The
+	// longest chain of maxSteps steps still fits into a time.Duration.
+	MaxEstimate = 365 * 24 * time.Hour
+	// maxUnixMs is the last millisecond of the year 9999.
+	maxUnixMs = 253_402_300_799_999
 )
 
+// UnixMilli returns the time of a Unix millisecond, limited to the years 1970 to 9999.
+func UnixMilli(ms int64) time.Time {
+	return time.UnixMilli(min(max(ms, 0), maxUnixMs))
+}
+
 // ErrMalformed means that a job is invalid and would be rejected in any state of the system.
 var ErrMalformed = errors.New("flow: malformed job")
 
@@ -70,8 +87,22 @@
 	MaxUnavailable int
 }
 
-// Validate returns an error that wraps ErrMalformed if the job is malformed.
+// Validate returns an error that wraps ErrMalformed if the job is malformed or exceeds a limit.
 func (s *Spec) Validate() error {
+	if err := s.validateStructure(); err != nil {
+		return err
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].validateLimits(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateStructure is the part of Validate that also holds for stored jobs. A job that was accepted under
+// other limits is not lost.
+func (s *Spec) validateStructure() error {
 	if len(s.Text) > MaxTextBytes {
 		return errors.Wrapf(ErrMalformed, "text has %d bytes, at most %d are allowed", len(s.Text), MaxTextBytes)
 	}
@@ -104,6 +135,20 @@
 	return nil
 }
 
+// validateLimits checks the limits on a new job.
+func (s *StepSpec) validateLimits(index int) error {
+	if s.Need.CPUMillis > place.MaxCPUMillis || s.Need.MemoryMB > place.MaxMemoryMB || s.Need.Accelerators > place.MaxAccelerators {
+		return errors.Wrapf(ErrMalformed, "step %d needs more than any executor may have", index)
+	}
+	if max(len(s.RequiredLabel), len(s.DataRack), len(s.Image)) > MaxNameBytes {
+		return errors.Wrapf(ErrMalformed, "step %d has a name of more than %d bytes", index, MaxNameBytes)
+	}
+	if len(s.DependsOn) > index {
+		return errors.Wrapf(ErrMalformed, "step %d follows %d steps, at most %d are earlier ones", index, len(s.DependsOn), index)
+	}
+	return nil
+}
+
 // Reserved returns the resources that a task takes from its executor's capacity.
 func (s *StepSpec) Reserved() place.Resources {
 	need := s.Need
@@ -122,7 +167,7 @@
 		for _, dep := range s.Steps[i].DependsOn {
 			begin = max(begin, ends[dep])
 		}
-		ends[i] = begin + s.Steps[i].Estimate
+		ends[i] = begin + min(s.Steps[i].Estimate, MaxEstimate)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -179,7 +179,7 @@
 	state, _ := flow.ParseState(r.GetState())
 	return cell.Reply{
 		Outcome: cell.ParseOutcome(r.GetOutcome()), State: state, Reason: r.GetReason(),
-		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: fleet.Millis(r.GetRetryAfterMs()),
 	}
 }
 
@@ -341,7 +341,7 @@
 	for _, t := range r.GetTickets() {
 		tickets = append(tickets, fleet.Ticket{Executor: t.GetExecutor(), Value: t.GetValue()})
 	}
-	return tickets, time.Duration(r.GetValidMs()) * time.Millisecond, nil
+	return tickets, fleet.Millis(r.GetValidMs()), nil
 }
 
 // Outcomes of advice calls between instances.
