internal/cell: tickets that nobody asked for are ignored

Each became part of the job's record, for whose executors the next owner waits, and the record grew with each call for advice.

Test and fix go in together. Before the fix TestTicketsNotAskedForAreIgnored found 50 such names in a row of 582 bytes of the job.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -394,6 +395,10 @@
 	}
 	allowed := make(map[string]bool, len(tickets))
 	newlyAsked, newlyAllowed := 0, 0
+	tickets = slices.DeleteFunc(slices.Clone(tickets), func(t fleet.Ticket) bool {
+		_, asked := req.incarnations[t.Executor]
+		return !asked // the job's record must not grow with names that nobody asked for
+	})
 	for _, t := range tickets {
 		allowed[t.Executor] = true
 	}
--- a/internal/cell/odd_test.go
+++ b/internal/cell/odd_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
@@ -53,3 +55,23 @@
 		})
 	}
 }
+
+// A ticket for an executor that nobody asked about must not enter the job's record: the next owner would
+// wait for that executor, and the record would grow with each call.
+func TestTicketsNotAskedForAreIgnored(t *testing.T) {
+	sim := newLargeFleet(t, 1, 6)
+	sim.advisers = numAdvisers
+	for i := range 50 {
+		sim.unaskedTickets = append(sim.unaskedTickets, fleet.Ticket{Executor: fmt.Sprintf("unasked%d", i), Value: "t"})
+	}
+	o := sim.takeOver()
+	sim.advance(2 * time.Second)
+	sim.submit(o, "a", singleStep(slowQueue, 4, 10*time.Second))
+	sim.advance(5 * time.Second)
+	for key, value := range sim.rows {
+		assert.Check(t, !bytes.Contains(value, []byte("unasked")), "row %s of %d bytes names executors that nobody asked about", key, len(value))
+	}
+	sim.advance(20 * time.Second)
+	assert.Equal(t, o.core.State("a").State, flow.Completed)
+	sim.expectNoViolations()
+}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -142,6 +142,7 @@
 					tickets = append(tickets, fleet.Ticket{Executor: id, Value: "t"})
 				}
 			}
+			tickets = append(tickets, sim.unaskedTickets...)
 			ok := !sim.adviceFails
 			if !ok {
 				tickets = nil
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -98,6 +98,8 @@
 	// adviceFails makes calls to the policy service fail; adviceDelay is added to their duration.
 	adviceFails bool
 	adviceDelay time.Duration
+	// unaskedTickets are returned with each response of the policy service.
+	unaskedTickets []fleet.Ticket
 }
 
 // span is one run of a task as its executor saw it.
