internal/flow: the progress of a job fits into a row of the store

Each ended occurrence took 16 bytes, each checkpoint 23 and each step of an open occurrence 12, so that a job of 3,100 ended occurrences, or one of 4,096 tasks with checkpoints, exceeded the 64 KiB of base64 that the store takes; it would refuse each commit with that row. Above 36 KiB the record is stored without checkpoints. Open occurrences are limited by the size of their record. A job with failed runs of thousands of its tasks may still exceed the limit.

--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -138,12 +138,12 @@
 
 // openIsFull reports whether another occurrence has to wait until one of the open ones has ended.
 func (j *Job) openIsFull() bool {
-	tasks := 0
+	size := 0
 	for i := range j.Spec.Steps {
-		tasks += j.Spec.Steps[i].Count
+		size += stepRecordBytes + j.Spec.Steps[i].Count/8
 	}
 	n := len(j.openOccurrences)
-	return n > 0 && (n >= maxOpenOccurrences || (n+1)*tasks > maxOpenTasks)
+	return n > 0 && (n >= maxOpenOccurrences || (n+1)*size > maxOpenBytes)
 }
 
 func (j *Job) newOccurrence() *occurrence {
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -1,9 +1,11 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -88,19 +90,63 @@
 			}
 		}
 	}
-	// Occurrences can end out of order, so each ended one is marked so that it does not run again.
 	if !j.State.Final() {
-		for k := 0; k < j.nextOccurrence; k++ {
+		r.Steps = append(r.Steps, j.endedMarkers()...)
+	}
+	if len(r.GetSteps()) > 0 && proto.Size(r) > MaxProgressBytes {
+		dropCheckpoints(r)
+	}
+	return r
+}
+
+const (
+	// MaxProgressBytes is the size above which a progress record is stored without checkpoints. The row of
+	// a job of thousands of tasks would exceed the store's limit, and no commit with it would succeed.
+	MaxProgressBytes = 36 << 10
+
+	// occurrenceEndedMarker in place of a step number marks an occurrence that has ended.
+	occurrenceEndedMarker = -1
+
+	// maxEndedMarkers is the number of ended occurrences that are marked one by one, with 16 bytes each.
+	// Earlier versions know only such markers; with some 3,000 of them the row exceeds the store's limit.
+	maxEndedMarkers = 1000
+
+	// stepRecordBytes is the size of the progress record of a step besides one bit for each task.
+	stepRecordBytes = 12
+)
+
+// endedMarkers marks the occurrences that have ended, so that they do not run again. They can end out of
+// order. Many of them share one marker: it names the last one, and its done bits are those of all from the
+// first one on.
+func (j *Job) endedMarkers() []*wire.StepProgress {
+	if j.endedOccurrences > maxEndedMarkers {
+		marker := &wire.StepProgress{Step: occurrenceEndedMarker, Done: make([]byte, (j.nextOccurrence+7)/8)}
+		for k := range j.nextOccurrence {
 			if j.openOccurrences[k] == nil {
-				r.Steps = append(r.Steps, &wire.StepProgress{Occurrence: int64(k), Step: occurrenceEndedMarker})
+				marker.Occurrence = int64(k)
+				marker.Done[k/8] |= 1 << (k % 8)
 			}
 		}
+		return []*wire.StepProgress{marker}
 	}
-	return r
+	var markers []*wire.StepProgress
+	for k := range j.nextOccurrence {
+		if j.openOccurrences[k] == nil {
+			markers = append(markers, &wire.StepProgress{Occurrence: int64(k), Step: occurrenceEndedMarker})
+		}
+	}
+	return markers
 }
 
-// occurrenceEndedMarker in place of a step number marks an occurrence that has ended.
-const occurrenceEndedMarker = -1
+// dropCheckpoints removes the checkpoints from a record, and the tasks of which nothing else is recorded.
+func dropCheckpoints(r *wire.ProgressRecord) {
+	for _, s := range r.GetSteps() {
+		s.Tasks = slices.DeleteFunc(s.GetTasks(), func(t *wire.TaskProgress) bool {
+			t.Checkpoint = ""
+			return len(t.GetFailedRuns()) == 0 && len(t.GetCrashes()) == 0
+		})
+	}
+}
 
 // persistedState returns the state to store. Running is not stored, since a new owner learns from
 // the executors what runs.
@@ -159,33 +205,47 @@
 	}
 	j.executors = progress.GetExecutors()
 	for _, s := range progress.GetSteps() {
-		if err := j.restoreStep(s); err != nil {
-			return nil, errors.Wrapf(err, "progress record of job %s", id)
+		if k := s.GetOccurrence(); k < 0 || k >= int64(j.occurrenceCount()) || s.GetStep() < occurrenceEndedMarker {
+			return nil, errors.Newf("flow: progress record of job %s: occurrence %d has no step %d", id, k, s.GetStep())
 		}
 	}
+	j.restoreOccurrences(progress.GetSteps())
+	for _, s := range progress.GetSteps() {
+		j.restoreStep(s)
+	}
 	return j, nil
 }
 
-func (j *Job) restoreStep(r *wire.StepProgress) error {
-	k := int(r.GetOccurrence())
-	if k < 0 || k >= j.occurrenceCount() || r.GetStep() < occurrenceEndedMarker {
-		return errors.Newf("flow: occurrence %d has no step %d", k, r.GetStep())
-	}
-	for j.nextOccurrence <= k {
-		j.openOccurrences[j.nextOccurrence] = j.newOccurrence()
-		j.nextOccurrence++
-	}
-	o := j.openOccurrences[k]
-	if o == nil {
-		return nil
+// restoreOccurrences opens the occurrences up to the last one that is recorded, except the ended ones.
+func (j *Job) restoreOccurrences(steps []*wire.StepProgress) {
+	ended := make(map[int]bool)
+	last := -1
+	for _, s := range steps {
+		k := int(s.GetOccurrence())
+		last = max(last, k)
+		if s.GetStep() != occurrenceEndedMarker {
+			continue
+		}
+		ended[k] = true
+		for i := range min(k, 8*len(s.GetDone())) {
+			if s.GetDone()[i/8]&(1<<(i%8)) != 0 {
+				ended[i] = true
+			}
+		}
 	}
-	if r.GetStep() == occurrenceEndedMarker {
-		delete(j.openOccurrences, k)
-		j.endedOccurrences++
-		return nil
+	for ; j.nextOccurrence <= last; j.nextOccurrence++ {
+		if ended[j.nextOccurrence] {
+			j.endedOccurrences++
+		} else {
+			j.openOccurrences[j.nextOccurrence] = j.newOccurrence()
+		}
 	}
-	if r.GetStep() >= int64(len(o.steps)) {
-		return nil
+}
+
+func (j *Job) restoreStep(r *wire.StepProgress) {
+	o := j.openOccurrences[int(r.GetOccurrence())]
+	if o == nil || r.GetStep() < 0 || r.GetStep() >= int64(len(o.steps)) {
+		return
 	}
 	p := &o.steps[r.GetStep()]
 	former := p.remaining
@@ -208,7 +268,6 @@
 			}
 		}
 	}
-	return nil
 }
 
 // Resume opens the occurrences that are due in a restored job and returns all steps that may start.
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -15,10 +15,11 @@
 	maxSteps       = 64
 	maxCount       = 4096
 	maxOccurrences = 100_000
-	// maxOpenOccurrences and maxOpenTasks limit the occurrences of a job that are open at the same time,
-	// beyond the first one. A job whose occurrences are all due at once would take tens of gigabytes.
+	// maxOpenOccurrences and maxOpenBytes limit the occurrences of a job that are open at the same time,
+	// beyond the first one, and the size of their progress record without checkpoints. A job whose
+	// occurrences are all due at once would take tens of gigabytes of memory.
 	maxOpenOccurrences = 1000
-	maxOpenTasks       = maxSteps * maxCount
+	maxOpenBytes       = 16 << 10
 	// MaxNameBytes is the maximum size of a label, a rack or an image. A job at all limits fits into a
 	// row of the store, 64 KiB.
 	MaxNameBytes = 200
