internal/cell: a malformed job of another instance is rejected

Only the instance that a client calls checked a job. Test and fix go in together. Before the fix, in TestMalformedJobIsRejected the owner ended with an index out of range for a step that follows one that does not exist, and accepted a job without steps.

--- a/internal/cell/odd_test.go
+++ b/internal/cell/odd_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyrack/daisyrack/internal/cell"
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/pkg/place"
@@ -75,3 +76,17 @@
 	assert.Equal(t, o.core.State("a").State, flow.Completed)
 	sim.expectNoViolations()
 }
+
+// A malformed job from another instance, which may be of another version, must not end the owner.
+func TestMalformedJobIsRejected(t *testing.T) {
+	sim, o := newIdleCell(t, 2)
+	odd := singleStep(slowQueue, 2, time.Second)
+	odd.Steps[0].DependsOn = []int{5}
+	negative := singleStep(slowQueue, -1, time.Second)
+	for id, spec := range map[string]flow.Spec{"after": odd, "count": negative, "steps": {Queue: slowQueue}} {
+		reply := sim.submit(o, id, spec)
+		sim.advance(time.Second)
+		assert.Equal(t, reply.Outcome, cell.Rejected, id)
+		assert.Equal(t, o.core.State(id).Outcome, cell.Absent, id)
+	}
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -23,6 +23,12 @@
 		reply(Reply{Outcome: Rejected, Reason: "queue is not configured", RetryAfter: rejectRetryAfter})
 		return
 	}
+	if err := spec.Validate(); err != nil {
+		c.Stats.Rejected++
+		c.Log.WithField("job", id).WithError(err).Warn("malformed job of another instance rejected")
+		reply(Reply{Outcome: Rejected, Reason: err.Error(), RetryAfter: rejectRetryAfter})
+		return
+	}
 	if c.StoreUnavailable(now) {
 		c.Stats.Rejected++
 		c.Log.WithField("job", id).WithField("store_silent_ms", now.Sub(c.confirmedAt).Milliseconds()).
