--- a/pkg/place/resources.go
+++ b/pkg/place/resources.go
@@ -1,6 +1,6 @@
 package place
 
-// Limits of the capacity of one worker. They are far above any machine, and the sum over 9 billion
+// Limits of the capacity of one worker. They are far above any machine, and the sum over 8 billion
 // workers at the limit still fits into an int64; docs/CAPACITY.md builds towards 4,000.
 const (
 	// MaxCPUMillis is a million cores, in thousandths of a core.
