--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -36,6 +37,10 @@
 	// would allow none.
 	spareForOne = 6
 
+	// maxStandbyExecutors is the number of executors without room for which a long-running step that waits
+	// keeps tickets.
+	maxStandbyExecutors = 20
+
 	// capacityFactor is the capacity to request relative to the pending tasks, since other steps
 	// may take part of it first.
 	capacityFactor = 1.15
@@ -60,6 +65,10 @@
 	// adviceRecheckSteps is the number of steps in scheduling order after which the interval grows.
 	adviceRecheckSteps = 4
 
+	// maxRecheckDelay limits the interval for steps far back in the order, which may move to the front
+	// meanwhile.
+	maxRecheckDelay = 500 * time.Millisecond
+
 	// roomyInterval is how long a list of executors with room is used, for each executor of the fleet,
 	// since the time that it takes to make the list grows with the fleet.
 	roomyInterval = 5 * time.Microsecond
@@ -126,8 +135,8 @@
 			return req
 		}
 		// Steps far back in the order find room only when those before them do not need it.
-		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval)
-		st.nextAdviceAt = now.Add(recheck * time.Duration(1+i/adviceRecheckSteps))
+		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval) * time.Duration(1+i/adviceRecheckSteps)
+		st.nextAdviceAt = now.Add(min(recheck, maxRecheckDelay))
 	}
 	return nil
 }
@@ -191,15 +200,17 @@
 }
 
 // fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
-// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
-// first in scheduling order count: the tasks of the others give way to those of this step.
+// millicores has room beside what slow calls in flight are likely to claim, to the nearest whole task. Only
+// calls for steps that come first in scheduling order count: the tasks of the others give way to those of
+// this step.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
 	for other, cpu := range ex.promises {
-		if schedulesBefore(other, st) {
+		if len(other.pending) > 0 && schedulesBefore(other, st) {
 			freeCPU -= cpu
 		}
 	}
-	return int(max(freeCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
+	need := max(st.spec.Reserved().CPUMillis, 1)
+	return int((max(freeCPU, 0) + need/2) / need)
 }
 
 // isPromised reports whether an executor has room for the step only without what slow calls in flight
@@ -225,6 +236,11 @@
 		if !st.matches(ex) || ex.isKeptAway(now) && !st.impatient {
 			continue
 		}
+		t, ticketValid := st.tickets[id]
+		ticketValid = ticketValid && t.incarnation == ex.incarnation
+		if askedIncarnation, seen := st.asked[id]; seen && askedIncarnation == ex.incarnation && !ticketValid {
+			continue // denied
+		}
 		fits := c.fits(st, ex)
 		if slow {
 			fits = min(fits, st.fitsBesidePromises(ex, roomy.freeCPU))
@@ -232,8 +248,6 @@
 		if fits == 0 {
 			continue
 		}
-		t, ticketValid := st.tickets[id]
-		ticketValid = ticketValid && t.incarnation == ex.incarnation
 		if ticketValid && renewBefore.Before(t.until) || ticketValid && now.Add(ticketMargin).Before(t.until) {
 			placeable += fits
 			continue
@@ -241,17 +255,14 @@
 		if _, inFlight := st.asking[id]; inFlight {
 			continue
 		}
-		askedIncarnation, seen := st.asked[id]
-		if seen && askedIncarnation == ex.incarnation && !ticketValid {
-			continue
-		}
 		options = append(options, option{ex: ex, fits: fits, allowed: ticketValid, penalty: penalty(st, ex) + c.recordingPenalty(st.job, ex)})
 	}
 	need := len(st.pending)
-	if placeable >= need || len(options) == 0 {
+	if placeable >= need {
 		return nil
 	}
-	if st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
+	standby := c.standbyExecutors(now, st, renewBefore)
+	if len(options)+len(standby) == 0 || st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
 		return nil
 	}
 	share := c.allowedShareOf(st.queue.Name).value
@@ -263,7 +274,12 @@
 		return nil
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors)
+	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors-len(standby))
+	for _, ex := range standby {
+		if !slices.Contains(chosen, ex) {
+			chosen = append(chosen, ex)
+		}
+	}
 	for _, ex := range chosen {
 		st.asking[ex.ID] = promise{ex: ex, fits: c.fits(st, ex)}
 		req.Executors = append(req.Executors, ex.ID)
@@ -283,6 +299,29 @@
 	return req
 }
 
+// standbyExecutors returns executors that are known to be allowed for a long-running step that has been
+// waiting, and whose tickets run out. Without them, room that becomes free there is taken by later steps
+// before the step can ask for it.
+func (c *Core) standbyExecutors(now time.Time, st *stepState, renewBefore time.Time) []*executor {
+	if !st.spec.LongRunning || !st.impatient {
+		return nil
+	}
+	var out []*executor
+	for _, id := range slices.Sorted(maps.Keys(st.tickets)) {
+		ex, t := c.executors[id], st.tickets[id]
+		if ex == nil || t.incarnation != ex.incarnation || renewBefore.Before(t.until) || !c.isEligible(now, st, ex) {
+			continue
+		}
+		if _, inFlight := st.asking[id]; inFlight || !st.spec.Reserved().Fits(ex.Capacity) {
+			continue
+		}
+		if out = append(out, ex); len(out) == maxStandbyExecutors {
+			break
+		}
+	}
+	return out
+}
+
 // promiseRoom records what a slow call for the step is expected to claim of the executors that it names: in
 // all no more than its pending tasks need, since a single task asks for several executors.
 func (st *stepState) promiseRoom(named []*executor, share float64) {
@@ -445,7 +484,10 @@
 	for _, t := range tickets {
 		allowed[t.Executor] = true
 	}
-	c.releaseRoom(now, req, allowed)
+	if validity <= 0 && st.queue.Advice != nil {
+		validity = st.queue.Advice.TicketTTL
+	}
+	c.extendHolds(now, req, allowed, validity)
 	for _, id := range req.Executors {
 		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
@@ -474,9 +516,6 @@
 		s.value += allowedShareWeight * (float64(newlyAllowed)/float64(newlyAsked) - s.value)
 		s.value = max(s.value, 0.05)
 	}
-	if validity <= 0 && st.queue.Advice != nil {
-		validity = st.queue.Advice.TicketTTL
-	}
 	ids := make([]string, 0, len(tickets))
 	for _, t := range tickets {
 		ids = append(ids, t.Executor)
