--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -48,7 +48,7 @@
 	x.leaseUntil = max(x.leaseUntil, s.LeaseEnd)
 	sim.checkStart(x, s)
 	spec := sim.specOf(s.Task)
-	runTime := time.Duration(float64(spec.Estimate) * (0.5 + sim.taskRandom(s.Task)))
+	runTime := sim.runTime(s.Task)
 	sp := &span{number: s.Number, executor: x.ID, begin: sim.now, open: true, inTouch: sim.owners[s.Epoch-1].inTouch()}
 	sim.history[s.Task] = append(sim.history[s.Task], sp)
 	r := &fakeRun{
@@ -74,6 +74,11 @@
 	return fleet.Executed
 }
 
+// runTime returns how long a run of a task takes.
+func (sim *simulation) runTime(t fleet.TaskID) time.Duration {
+	return time.Duration(float64(sim.specOf(t).Estimate) * (0.5 + sim.taskRandom(t)))
+}
+
 // failureRate returns the share of runs of a step that fail on their own.
 func (sim *simulation) failureRate(spec *flow.StepSpec) float64 {
 	if spec.LongRunning {
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -302,7 +302,7 @@
 			if o.dead {
 				return
 			}
-			if sim.now.Sub(sent) > poll.Timeout {
+			if sim.now.Sub(sent) > poll.Timeout && resp.Status != fleet.NoResponse {
 				// The owner has given up the poll; it applies the response when it gets to it.
 				o.core.ApplyPollResponse(sim.now, sent, id, fleet.Response{Status: fleet.NoResponse})
 			}
@@ -362,6 +362,11 @@
 			return
 		}
 		resp := x.execute(sim, cmd)
+		if sim.lostCommandShare > 0 && sim.rng.Float64() < sim.lostCommandShare {
+			wait := max(o.core.CommandTimeout(sim.now, cmd.Attempt)-sim.now.Sub(sent), 0)
+			sim.schedule(wait, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+			return
+		}
 		if x.rejectsRetries && cmd.Start != nil {
 			sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
 			return
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -53,6 +53,9 @@
 	// lostPollShare is the share of polls whose responses get lost.
 	lostPollShare float64
 
+	// lostCommandShare is the share of commands that are executed and whose responses get lost.
+	lostCommandShare float64
+
 	// costs are the processing times of the owners' work; nil means none.
 	costs *costs
 
