--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -97,7 +97,7 @@
 		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
-		slow := st.queue.Advice.BaseLatency > slowAdvice
+		slow := st.hasSlowAdvice()
 		if slow && fastOnly {
 			continue
 		}
@@ -163,19 +163,43 @@
 
 // maxParallelAdvice returns the maximum number of calls in flight for a step.
 func maxParallelAdvice(st *stepState) int {
-	if st.spec.Gang && st.queue.Advice.BaseLatency > slowAdvice {
+	if st.spec.Gang && st.hasSlowAdvice() {
 		return maxParallelGangAdvice
 	}
 	return 1
 }
 
+// hasSlowAdvice reports whether calls to the policy service for the step take long.
+func (st *stepState) hasSlowAdvice() bool {
+	return st.queue.Advice.BaseLatency > slowAdvice
+}
+
+// fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
+// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
+// first in scheduling order count: the tasks of the others give way to those of this step.
+func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
+	for other, cpu := range ex.promises {
+		if schedulesBefore(other, st) {
+			freeCPU -= cpu
+		}
+	}
+	return int(max(freeCPU, 0) / max(st.spec.Reserved().CPUMillis, 1))
+}
+
+// isPromised reports whether an executor has room for the step only without what slow calls in flight
+// are likely to claim, so that it is not asked for.
+func (c *Core) isPromised(st *stepState, ex *executor) bool {
+	free, _ := c.allocator.Free(ex.ID)
+	return st.hasSlowAdvice() && st.fitsBesidePromises(ex, free.CPUMillis) == 0
+}
+
 // newAdviceRequest selects the executors to ask for; nil means that a call would not help.
 func (c *Core) newAdviceRequest(now time.Time, st *stepState) *AdviceRequest {
 	renewBefore := now.Add(ticketMargin + st.queue.Advice.LatencyPerExecutor*usualAdviceExecutors + st.queue.Advice.BaseLatency)
 	placeable := 0
 	var options []option
 	neededCPU := st.spec.Reserved().CPUMillis
-	slow := st.queue.Advice.BaseLatency > slowAdvice
+	slow := st.hasSlowAdvice()
 	for _, roomy := range c.roomyExecutors(now, st) {
 		if roomy.freeCPU < neededCPU {
 			continue
@@ -187,8 +211,7 @@
 		}
 		fits := c.fits(st, ex)
 		if slow {
-			// Calls of other steps that take as long are likely to claim part of the room.
-			fits = min(fits, int(max(roomy.freeCPU-ex.promisedCPU, 0)/max(neededCPU, 1)))
+			fits = min(fits, st.fitsBesidePromises(ex, roomy.freeCPU))
 		}
 		if fits == 0 {
 			continue
@@ -224,16 +247,16 @@
 		return nil
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	for _, ex := range chooseExecutors(options, int(expected), need, share, maxAdviceExecutors) {
-		p := promise{ex: ex, fits: c.fits(st, ex)}
-		if slow {
-			p.cpu = int64(share * float64(p.fits) * float64(neededCPU))
-		}
-		st.asking[ex.ID] = p
-		ex.promisedCPU += p.cpu
+	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors)
+	for _, ex := range chosen {
+		st.asking[ex.ID] = promise{ex: ex, fits: c.fits(st, ex)}
 		req.Executors = append(req.Executors, ex.ID)
 		req.incarnations[ex.ID] = ex.incarnation
 	}
+	if slow {
+		st.promiseRoom(chosen, share)
+	}
+	c.holdRoom(now, req)
 	req.toRecord = req.Executors
 	if widest := st.job.Spec.WidestStep(); widest > need {
 		req.toRecord = nil
@@ -244,6 +267,22 @@
 	return req
 }
 
+// promiseRoom records what a slow call for the step is expected to claim of the executors that it names: in
+// all no more than its pending tasks need, since a single task asks for several executors.
+func (st *stepState) promiseRoom(named []*executor, share float64) {
+	total := 0.0
+	for _, ex := range named {
+		total += share * float64(st.asking[ex.ID].fits)
+	}
+	if total == 0 {
+		return
+	}
+	perTask := share * min(1, float64(len(st.pending))/total) * float64(st.spec.Reserved().CPUMillis)
+	for _, ex := range named {
+		ex.promises[st] = int64(perTask * float64(st.asking[ex.ID].fits))
+	}
+}
+
 // recordingPenalty prefers executors that the store already names for the job: tasks can start
 // there without a commit.
 func (c *Core) recordingPenalty(j *job, ex *executor) float64 {
@@ -382,9 +421,13 @@
 func (c *Core) ApplyAdvice(now time.Time, req *AdviceRequest, tickets []fleet.Ticket, validity time.Duration, ok bool) {
 	st := req.state
 	st.adviceInFlight--
+	allowed := make(map[string]bool, len(tickets))
+	for _, t := range tickets {
+		allowed[t.Executor] = true
+	}
+	c.releaseRoom(now, req, allowed)
 	for _, id := range req.Executors {
-		p := st.asking[id]
-		p.ex.promisedCPU -= p.cpu
+		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
 	}
 	st.fullScan = true
@@ -392,11 +435,7 @@
 		st.nextAdviceAt = now.Add(adviceRetryDelay)
 		return
 	}
-	allowed := make(map[string]bool, len(tickets))
 	newlyAsked, newlyAllowed := 0, 0
-	for _, t := range tickets {
-		allowed[t.Executor] = true
-	}
 	for id, executorIncarnation := range req.incarnations {
 		if _, seen := st.asked[id]; !seen {
 			newlyAsked++
