--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -91,10 +91,7 @@
 	}
 	ex.missedPolls++
 	c.Stats.MissedPolls++
-	if !c.losingResponses || ex.missedPolls >= maxMissedPolls {
-		// While responses get lost, one of them is no reason to run tasks twice.
-		c.speculateAll(ex)
-	}
+	c.speculateAll(ex)
 	if ex.missedPolls == maxMissedPolls {
 		c.presumeCrash(now, ex)
 		c.updateCordon(ex)
