Revert "internal/cell: a slow owner goes on allowing for lost responses"

Its processor had no time left: commits took 0.3 to 1 s from second 7 to 19, also when the store served it directly, and urgent jobs that arrived in seconds 7 to 12 were acknowledged after 1.06 s in the mean, 0.39 s before.

--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -25,14 +25,10 @@
 	// times change quickly.
 	mixedPollWait = 400 * time.Millisecond
 
-	// lossyPollWait is the least hold while responses get lost, because a lost response hides ended runs
+	// lossyPollWait is the same while responses get lost, because a lost response hides ended runs
 	// for as long.
 	lossyPollWait = 200 * time.Millisecond
 
-	// expectedEndMargin is how long after the next expected end such a hold ends. Shorter holds return
-	// without an end too often, and the owner of a large fleet has no processor time for these.
-	expectedEndMargin = 60 * time.Millisecond
-
 	// pollTimeoutMargin is how long a response may take beyond the time for which it may be held,
 	// and lossyTimeoutMargin the same while responses get lost. A response takes a few
 	// milliseconds.
@@ -295,7 +291,7 @@
 
 // NextPoll returns the next poll of an executor; the result is false if the executor is no longer
 // known.
-func (c *Core) NextPoll(now time.Time, id string) (fleet.Executor, fleet.Poll, bool) {
+func (c *Core) NextPoll(id string) (fleet.Executor, fleet.Poll, bool) {
 	ex := c.executors[id]
 	if ex == nil {
 		return fleet.Executor{}, fleet.Poll{}, false
@@ -310,7 +306,7 @@
 		case len(ex.runs) == 0:
 			poll.Wait = idlePollWait
 		case c.losingResponses:
-			poll.Wait = c.lossyWait(now, ex)
+			poll.Wait = lossyPollWait
 		case ex.trial != nil:
 			poll.Wait = trialPollWait
 		case ex.isMixed():
@@ -327,7 +323,7 @@
 		}
 	}
 	poll.Timeout = poll.Wait + pollTimeoutMargin
-	if c.losingResponses && !c.Overloaded(now) {
+	if c.losingResponses {
 		poll.Timeout = poll.Wait + lossyTimeoutMargin
 	}
 	poll.Timeout += c.Pace.Allowance()
@@ -335,18 +331,6 @@
 	return ex.Executor, poll, true
 }
 
-// lossyWait returns how long an executor may hold its response while responses get lost: until shortly
-// after the next end is expected, since the loss of the response hides that end until the poll times out.
-func (c *Core) lossyWait(now time.Time, ex *executor) time.Duration {
-	wait := c.Pace.Interval(pollWait, maxPollWait)
-	for _, r := range ex.runs {
-		if !r.spec().LongRunning {
-			wait = min(wait, r.expectedEnd().Add(expectedEndMargin).Sub(now))
-		}
-	}
-	return max(wait, lossyPollWait)
-}
-
 // PollPause returns the pause before the next poll.
 func (c *Core) PollPause(id string) time.Duration {
 	if ex := c.executors[id]; ex != nil && ex.missedPolls >= maxMissedPolls {
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -245,7 +245,7 @@
 		delete(o.pollingTwice, id)
 		return
 	}
-	e, poll, known := o.core.NextPoll(sim.now, id)
+	e, poll, known := o.core.NextPoll(id)
 	if !known {
 		delete(o.polling, id)
 		return
--- a/internal/cell/responseloss.go
+++ b/internal/cell/responseloss.go
@@ -21,6 +21,9 @@
 // recordLostResponse counts an unanswered call to an executor that answered the next call, which shows
 // that it was neither down nor partitioned.
 func (c *Core) recordLostResponse(now time.Time) {
+	if c.Overloaded(now) {
+		return
+	}
 	c.lostResponses++
 	c.lastLostResponse = now
 	if c.lostResponses >= lostResponseThreshold && !c.losingResponses {
@@ -34,14 +37,14 @@
 	return now.Sub(c.lastLateTick) < overloadWindow
 }
 
-// updateResponseLoss clears the lost responses once they are old. While this instance is itself too slow
-// they count as well: the bursts in which it is slow are those in which a lost response makes jobs late.
+// updateResponseLoss clears the lost responses once they are old, and at once when this instance is
+// itself too slow.
 func (c *Core) updateResponseLoss(now time.Time) {
 	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > lateTickInterval {
 		c.lastLateTick = now
 	}
 	c.lastTick = now
-	if c.lostResponses == 0 || now.Sub(c.lastLostResponse) < lostResponseWindow {
+	if c.lostResponses == 0 || !c.Overloaded(now) && now.Sub(c.lastLostResponse) < lostResponseWindow {
 		return
 	}
 	if c.losingResponses {
@@ -57,12 +60,11 @@
 
 // NeedsSecondPoll reports whether two polls of an executor should be in flight, so that one lost
 // response does not delay the news of its ended runs, or one that is held since before a trial the
-// news that the suspect has outlived its start. An instance that is too slow makes only the latter: twice the
-// polls would make it slower still.
+// news that the suspect has outlived its start.
 func (c *Core) NeedsSecondPoll(id string) bool {
 	ex := c.executors[id]
 	if ex == nil || !ex.claimed || ex.missedPolls >= maxMissedPolls || len(ex.runs) == 0 {
 		return false
 	}
-	return c.losingResponses && !c.Overloaded(c.lastTick) && c.Pace.Stretch() == 1 || ex.trial != nil && ex.runs[ex.trial.key] == ex.trial && !ex.trial.outlivedStart
+	return c.losingResponses || ex.trial != nil && ex.runs[ex.trial.key] == ex.trial && !ex.trial.outlivedStart
 }
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -33,9 +33,6 @@
 	minStallTime = 800 * time.Millisecond
 	stallPercent = 8
 
-	// fullPercent is the progress of a run that is done.
-	fullPercent = 100
-
 	// stallBackoff is how long an executor with a stalled run gets no new tasks.
 	stallBackoff = 3 * time.Second
 
@@ -130,19 +127,6 @@
 	return remaining > float64(spec.Estimate)
 }
 
-// expectedEnd returns when the run is expected to end by its progress, or by the estimate while no progress is
-// known.
-func (r *run) expectedEnd() time.Time {
-	if r.confirmedAt.IsZero() {
-		return r.startedAt.Add(r.spec().Estimate)
-	}
-	if r.percent <= 0 {
-		return r.confirmedAt.Add(r.spec().Estimate)
-	}
-	elapsed := r.progressAt.Sub(r.confirmedAt)
-	return r.progressAt.Add(time.Duration(float64(elapsed) * (fullPercent - r.percent) / r.percent))
-}
-
 // isStalled reports whether a run makes no progress. Even on a slow executor a run gains some
 // percent within minStallTime.
 func (r *run) isStalled(now time.Time) bool {
