--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -204,7 +204,7 @@
 // first in scheduling order count: the tasks of the others give way to those of this step.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
 	for other, cpu := range ex.promises {
-		if len(other.pending) > 0 && schedulesBefore(other, st) {
+		if !other.job.State.Final() && schedulesBefore(other, st) {
 			freeCPU -= cpu
 		}
 	}
