--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -29,6 +31,10 @@
 	// would allow none.
 	spareForOne = 6
 
+	// maxStandbyExecutors is the number of executors without room for which a long-running step that waits
+	// keeps tickets.
+	maxStandbyExecutors = 20
+
 	// capacityFactor is the capacity to request relative to the pending tasks, since other steps
 	// may take part of it first.
 	capacityFactor = 1.15
@@ -53,6 +59,10 @@
 	// adviceRecheckSteps is the number of steps in scheduling order after which the interval grows.
 	adviceRecheckSteps = 4
 
+	// maxRecheckDelay limits the interval for steps far back in the order, which may move to the front
+	// meanwhile.
+	maxRecheckDelay = 500 * time.Millisecond
+
 	// roomyInterval is how long a list of executors with room is used, for each executor of the fleet,
 	// since the time that it takes to make the list grows with the fleet.
 	roomyInterval = 5 * time.Microsecond
@@ -97,7 +107,7 @@
 		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
-		slow := st.queue.Advice.BaseLatency > slowAdvice
+		slow := st.hasSlowAdvice()
 		if slow && fastOnly {
 			continue
 		}
@@ -115,8 +125,8 @@
 			return req
 		}
 		// Steps far back in the order find room only when those before them do not need it.
-		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval)
-		st.nextAdviceAt = now.Add(recheck * time.Duration(1+i/adviceRecheckSteps))
+		recheck := c.Pace.Interval(adviceRecheckInterval, maxRecheckInterval) * time.Duration(1+i/adviceRecheckSteps)
+		st.nextAdviceAt = now.Add(min(recheck, maxRecheckDelay))
 	}
 	return nil
 }
@@ -163,19 +173,45 @@
 
 // maxParallelAdvice returns the maximum number of calls in flight for a step.
 func maxParallelAdvice(st *stepState) int {
-	if st.spec.Gang && st.queue.Advice.BaseLatency > slowAdvice {
+	if st.spec.Gang && st.hasSlowAdvice() {
 		return maxParallelGangAdvice
 	}
 	return 1
 }
 
+// hasSlowAdvice reports whether calls to the policy service for the step take long.
+func (st *stepState) hasSlowAdvice() bool {
+	return st.queue.Advice.BaseLatency > slowAdvice
+}
+
+// fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
+// millicores has room beside what slow calls in flight are likely to claim, to the nearest whole task. Only
+// calls for steps that come first in scheduling order count: the tasks of the others give way to those of
+// this step.
+func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
+	for other, cpu := range ex.promises {
+		if len(other.pending) > 0 && schedulesBefore(other, st) {
+			freeCPU -= cpu
+		}
+	}
+	need := max(st.spec.Reserved().CPUMillis, 1)
+	return int((max(freeCPU, 0) + need/2) / need)
+}
+
+// isPromised reports whether an executor has room for the step only without what slow calls in flight
+// are likely to claim, so that it is not asked for.
+func (c *Core) isPromised(st *stepState, ex *executor) bool {
+	free, _ := c.allocator.Free(ex.ID)
+	return st.hasSlowAdvice() && st.fitsBesidePromises(ex, free.CPUMillis) == 0
+}
+
 // newAdviceRequest selects the executors to ask for; nil means that a call would not help.
 func (c *Core) newAdviceRequest(now time.Time, st *stepState) *AdviceRequest {
 	renewBefore := now.Add(ticketMargin + st.queue.Advice.LatencyPerExecutor*usualAdviceExecutors + st.queue.Advice.BaseLatency)
 	placeable := 0
 	var options []option
 	neededCPU := st.spec.Reserved().CPUMillis
-	slow := st.queue.Advice.BaseLatency > slowAdvice
+	slow := st.hasSlowAdvice()
 	for _, roomy := range c.roomyExecutors(now, st) {
 		if roomy.freeCPU < neededCPU {
 			continue
@@ -185,16 +221,18 @@
 		if !st.matches(ex) || ex.isKeptAway(now) && !st.impatient {
 			continue
 		}
+		t, ticketValid := st.tickets[id]
+		ticketValid = ticketValid && t.incarnation == ex.incarnation
+		if askedIncarnation, seen := st.asked[id]; seen && askedIncarnation == ex.incarnation && !ticketValid {
+			continue // denied
+		}
 		fits := c.fits(st, ex)
 		if slow {
-			// Calls of other steps that take as long are likely to claim part of the room.
-			fits = min(fits, int(max(roomy.freeCPU-ex.promisedCPU, 0)/max(neededCPU, 1)))
+			fits = min(fits, st.fitsBesidePromises(ex, roomy.freeCPU))
 		}
 		if fits == 0 {
 			continue
 		}
-		t, ticketValid := st.tickets[id]
-		ticketValid = ticketValid && t.incarnation == ex.incarnation
 		if ticketValid && renewBefore.Before(t.until) || ticketValid && now.Add(ticketMargin).Before(t.until) {
 			placeable += fits
 			continue
@@ -202,17 +240,14 @@
 		if _, inFlight := st.asking[id]; inFlight {
 			continue
 		}
-		askedIncarnation, seen := st.asked[id]
-		if seen && askedIncarnation == ex.incarnation && !ticketValid {
-			continue
-		}
 		options = append(options, option{ex: ex, fits: fits, allowed: ticketValid, penalty: penalty(st, ex) + c.recordingPenalty(st.job, ex)})
 	}
 	need := len(st.pending)
-	if placeable >= need || len(options) == 0 {
+	if placeable >= need {
 		return nil
 	}
-	if st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
+	standby := c.standbyExecutors(now, st, renewBefore)
+	if len(options)+len(standby) == 0 || st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
 		return nil
 	}
 	share := c.allowedShareOf(st.queue.Name).value
@@ -224,16 +259,21 @@
 		return nil
 	}
 	req := &AdviceRequest{Step: st.stepID, state: st, incarnations: make(map[string]int64), sentAt: now}
-	for _, ex := range chooseExecutors(options, int(expected), need, share, maxAdviceExecutors) {
-		p := promise{ex: ex, fits: c.fits(st, ex)}
-		if slow {
-			p.cpu = int64(share * float64(p.fits) * float64(neededCPU))
+	chosen := chooseExecutors(options, int(expected), need, share, maxAdviceExecutors-len(standby))
+	for _, ex := range standby {
+		if !slices.Contains(chosen, ex) {
+			chosen = append(chosen, ex)
 		}
-		st.asking[ex.ID] = p
-		ex.promisedCPU += p.cpu
+	}
+	for _, ex := range chosen {
+		st.asking[ex.ID] = promise{ex: ex, fits: c.fits(st, ex)}
 		req.Executors = append(req.Executors, ex.ID)
 		req.incarnations[ex.ID] = ex.incarnation
 	}
+	if slow {
+		st.promiseRoom(chosen, share)
+	}
+	c.holdRoom(now, req)
 	req.toRecord = req.Executors
 	if widest := st.job.Spec.WidestStep(); widest > need {
 		req.toRecord = nil
@@ -244,6 +284,45 @@
 	return req
 }
 
+// standbyExecutors returns executors that are known to be allowed for a long-running step that has been
+// waiting, and whose tickets run out. Without them, room that becomes free there is taken by later steps
+// before the step can ask for it.
+func (c *Core) standbyExecutors(now time.Time, st *stepState, renewBefore time.Time) []*executor {
+	if !st.spec.LongRunning || !st.impatient {
+		return nil
+	}
+	var out []*executor
+	for _, id := range slices.Sorted(maps.Keys(st.tickets)) {
+		ex, t := c.executors[id], st.tickets[id]
+		if ex == nil || t.incarnation != ex.incarnation || renewBefore.Before(t.until) || !c.isEligible(now, st, ex) {
+			continue
+		}
+		if _, inFlight := st.asking[id]; inFlight || !st.spec.Reserved().Fits(ex.Capacity) {
+			continue
+		}
+		if out = append(out, ex); len(out) == maxStandbyExecutors {
+			break
+		}
+	}
+	return out
+}
+
+// promiseRoom records what a slow call for the step is expected to claim of the executors that it names: in
+// all no more than its pending tasks need, since a single task asks for several executors.
+func (st *stepState) promiseRoom(named []*executor, share float64) {
+	total := 0.0
+	for _, ex := range named {
+		total += share * float64(st.asking[ex.ID].fits)
+	}
+	if total == 0 {
+		return
+	}
+	perTask := share * min(1, float64(len(st.pending))/total) * float64(st.spec.Reserved().CPUMillis)
+	for _, ex := range named {
+		ex.promises[st] = int64(perTask * float64(st.asking[ex.ID].fits))
+	}
+}
+
 // recordingPenalty prefers executors that the store already names for the job: tasks can start
 // there without a commit.
 func (c *Core) recordingPenalty(j *job, ex *executor) float64 {
@@ -382,9 +461,20 @@
 func (c *Core) ApplyAdvice(now time.Time, req *AdviceRequest, tickets []fleet.Ticket, validity time.Duration, ok bool) {
 	st := req.state
 	st.adviceInFlight--
+	tickets = slices.DeleteFunc(slices.Clone(tickets), func(t fleet.Ticket) bool {
+		_, asked := req.incarnations[t.Executor]
+		return !asked // the job's record must not grow with names that nobody asked for
+	})
+	allowed := make(map[string]bool, len(tickets))
+	for _, t := range tickets {
+		allowed[t.Executor] = true
+	}
+	if validity <= 0 && st.queue.Advice != nil {
+		validity = st.queue.Advice.TicketTTL
+	}
+	c.extendHolds(now, req, allowed, validity)
 	for _, id := range req.Executors {
-		p := st.asking[id]
-		p.ex.promisedCPU -= p.cpu
+		delete(st.asking[id].ex.promises, st)
 		delete(st.asking, id)
 	}
 	st.fullScan = true
@@ -392,11 +482,7 @@
 		st.nextAdviceAt = now.Add(adviceRetryDelay)
 		return
 	}
-	allowed := make(map[string]bool, len(tickets))
 	newlyAsked, newlyAllowed := 0, 0
-	for _, t := range tickets {
-		allowed[t.Executor] = true
-	}
 	for id, executorIncarnation := range req.incarnations {
 		if _, seen := st.asked[id]; !seen {
 			newlyAsked++
@@ -415,9 +501,6 @@
 		s.value += allowedShareWeight * (float64(newlyAllowed)/float64(newlyAsked) - s.value)
 		s.value = max(s.value, 0.05)
 	}
-	if validity <= 0 && st.queue.Advice != nil {
-		validity = st.queue.Advice.TicketTTL
-	}
 	ids := make([]string, 0, len(tickets))
 	for _, t := range tickets {
 		ids = append(ids, t.Executor)
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -79,22 +79,24 @@
 	trialSince, nextTrialAt time.Time
 	trialOverdue            bool
 	// waitingSince is when the step began to wait, see updateWaiting; waitReported is set once that was
-	// logged. impatient is set while the step uses executors that are kept away.
-	waitingSince            time.Time
+	// logged, examineAt is when the reasons are looked for next. impatient is set while the step uses
+	// executors that are kept away.
+	waitingSince, examineAt time.Time
 	waitReported, impatient bool
 	// heldTooLong is set once the step has waited for so long that an owner that is behind no longer holds
 	// it back.
 	heldTooLong bool
+	// endedAt is, by index, when the last run of a long-running task that does not run any more ended.
+	endedAt map[int]time.Time
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
 }
 
-// promise is what a call to the policy service in flight is expected to claim of an executor.
+// promise is an executor named in a call to the policy service in flight, with the number of tasks that fit
+// there.
 type promise struct {
-	ex *executor
-	// fits is the number of tasks that fit there, cpu their expected use in millicores.
+	ex   *executor
 	fits int
-	cpu  int64
 }
 
 // ticket allows the step on one incarnation of an executor.
@@ -152,7 +154,7 @@
 	st := &stepState{
 		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.config.Queue(j.Spec.Queue),
 		tickets: make(map[string]ticket), asked: make(map[string]int64), asking: make(map[string]promise),
-		runsOn: make(map[string]int), failuresOn: make(map[string]int),
+		runsOn: make(map[string]int), failuresOn: make(map[string]int), endedAt: make(map[int]time.Time),
 		unclaimed: make(map[string]bool),
 	}
 	if st.queue == nil {
@@ -449,10 +451,11 @@
 
 // allocate reserves the resources of a task on the best candidate; nil means that none fits.
 func (c *Core) allocate(now time.Time, st *stepState, index int, number int64, candidates []place.Candidate) *executor {
-	usable := candidates
+	usable := c.withoutHeld(now, st, candidates)
 	if st.spec.MaxPerExecutor > 0 {
+		all := usable
 		usable = nil
-		for _, cand := range candidates {
+		for _, cand := range all {
 			if st.runsOn[cand.Worker] < st.spec.MaxPerExecutor {
 				usable = append(usable, cand)
 			}
