--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -23,10 +23,16 @@
 	spareExecutors = 2
 
 	// maxParallelGangAdvice is the maximum number of slow calls in flight for one gang. Its tasks need
-	// tickets that are valid at the same time, and one call often allows too few executors. Other
+	// tickets that are valid at the same time, and one call often allows too few executors. Most other
 	// steps make one call at a time: in a burst the advisers do not suffice for all.
 	maxParallelGangAdvice = 4
 
+	// maxParallelLongRunningAdvice is the same for long-running steps: on a full fleet executors become
+	// free a few at a time, and each would wait for the end of the call in flight. The calls are
+	// longRunningAdviceInterval apart, so that each names more than one of them.
+	maxParallelLongRunningAdvice = 4
+	longRunningAdviceInterval    = 150 * time.Millisecond
+
 	// spareForOne is the same for a step with a single pending task. With two of them one call in six
 	// would allow none.
 	spareForOne = 6
@@ -107,6 +113,9 @@
 		if st.queue.Advice == nil || st.adviceInFlight >= maxParallelAdvice(st) || len(st.pending) == 0 || now.Before(st.nextAdviceAt) {
 			continue
 		}
+		if st.spec.LongRunning && st.adviceInFlight > 0 && now.Sub(st.askedAt) < longRunningAdviceInterval {
+			continue
+		}
 		slow := st.hasSlowAdvice()
 		if slow && fastOnly {
 			continue
@@ -117,6 +126,7 @@
 		if req := c.newAdviceRequest(now, st); req != nil {
 			req.Slow = slow
 			st.adviceInFlight++
+			st.askedAt = now
 			if !slow {
 				// The executors are stored while the call is in flight.
 				c.recordExecutors(st.job, req.toRecord)
@@ -173,8 +183,13 @@
 
 // maxParallelAdvice returns the maximum number of calls in flight for a step.
 func maxParallelAdvice(st *stepState) int {
-	if st.spec.Gang && st.hasSlowAdvice() {
+	switch {
+	case !st.hasSlowAdvice():
+		return 1
+	case st.spec.Gang:
 		return maxParallelGangAdvice
+	case st.spec.LongRunning:
+		return maxParallelLongRunningAdvice
 	}
 	return 1
 }
@@ -185,9 +200,8 @@
 }
 
 // fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
-// millicores has room beside what slow calls in flight are likely to claim, to the nearest whole task. Only
-// calls for steps that come first in scheduling order count: the tasks of the others give way to those of
-// this step.
+// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
+// first in scheduling order count: the tasks of the others give way to those of this step.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
 	for other, cpu := range ex.promises {
 		if len(other.pending) > 0 && schedulesBefore(other, st) {
@@ -195,7 +209,10 @@
 		}
 	}
 	need := max(st.spec.Reserved().CPUMillis, 1)
-	return int((max(freeCPU, 0) + need/2) / need)
+	if st.spec.LongRunning {
+		freeCPU += need / 2 // a promise of less than half a task does not take the only place
+	}
+	return int(max(freeCPU, 0) / need)
 }
 
 // isPromised reports whether an executor has room for the step only without what slow calls in flight
--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,15 @@
 	}}}
 }
 
+// askForAll makes all calls to the policy service that the owner wants to make, and returns their number.
+func (o *owner) askForAll() int {
+	n := 0
+	for o.core.NextAdviceRequest(o.env.now, false) != nil {
+		n++
+	}
+	return n
+}
+
 // Calls in flight for steps later in the scheduling order must not keep a step from asking.
 func TestCallsOfLaterStepsKeepNoStepFromAsking(t *testing.T) {
 	sim := newStandingFleet(t, 1, 20)
@@ -44,8 +54,7 @@
 		sim.submit(o, fmt.Sprintf("slow%d", i), singleStep(slowQueue, 40, 5*time.Second))
 	}
 	sim.advance(100 * time.Millisecond)
-	for o.core.NextAdviceRequest(sim.now, false) != nil {
-	}
+	assert.Assert(t, o.askForAll() > 0)
 	sim.submit(o, "standing", standingJob(1, place.Resources{CPUMillis: 4500, MemoryMB: 16000}))
 	sim.advance(100 * time.Millisecond)
 	req := o.core.NextAdviceRequest(sim.now, false)
@@ -54,6 +63,29 @@
 	assert.Assert(t, len(req.Executors) >= 7, "%d executors are asked for", len(req.Executors))
 }
 
+// A long-running step must ask for executors that become free while a call for it is in flight: on a full
+// fleet the tasks of a wide step waited for one call after the other.
+func TestLongRunningStepAsksWhileItsCallIsInFlight(t *testing.T) {
+	sim := newStandingFleet(t, 1, 4)
+	sim.advisers = 0
+	o := sim.takeOver()
+	sim.advance(time.Second)
+	sim.submit(o, "standing", standingJob(12, place.Resources{CPUMillis: 7600, MemoryMB: 16000}))
+	sim.advance(100 * time.Millisecond)
+	first := o.core.NextAdviceRequest(sim.now, false)
+	assert.Assert(t, first != nil && len(first.Executors) == 4)
+	for i := range 4 {
+		x := sim.addExecutor(fmt.Sprintf("y%d", i))
+		x.Capacity = place.Resources{CPUMillis: 16000, MemoryMB: 65536}
+		o.addExecutor(x)
+	}
+	sim.advance(200 * time.Millisecond)
+	second := o.core.NextAdviceRequest(sim.now, false)
+	assert.Assert(t, second != nil)
+	slices.Sort(second.Executors)
+	assert.DeepEqual(t, second.Executors, []string{"y0", "y1", "y2", "y3"})
+}
+
 // Calls in flight must not promise more room than their steps have tasks for.
 func TestCallsPromiseNoMoreThanTheirStepsNeed(t *testing.T) {
 	sim := newStandingFleet(t, 1, 20)
@@ -64,8 +96,7 @@
 		sim.submit(o, fmt.Sprintf("narrow%02d", i), singleStep(slowQueue, 1, 5*time.Second))
 	}
 	sim.advance(100 * time.Millisecond)
-	for o.core.NextAdviceRequest(sim.now, false) != nil {
-	}
+	assert.Assert(t, o.askForAll() > 0)
 	sim.submit(o, "wide", singleStep(slowQueue, 60, 5*time.Second))
 	sim.advance(100 * time.Millisecond)
 	req := o.core.NextAdviceRequest(sim.now, false)
@@ -124,10 +155,7 @@
 				sim := newStandingFleet(t, seed, 150)
 				sim.lastingFailureShare = 0.3
 				o := sim.takeOver()
-				w := &waitingCheck{
-					sim: sim, replies: make(map[string]*cell.Reply), since: make(map[string]time.Time),
-					reported: make(map[string]bool), calmFrom: sim.now,
-				}
+				w := newWaitingCheck(sim)
 				sim.schedule(waitingCheckInterval, w.check)
 				sim.advance(time.Second)
 				for _, l := range ordinaryLoad(150) {
