internal/logs: a line written after Close does not end the process

It was frozen beyond the deadline of its shutdown; when it went on, the shutdown had run out of time and left the duty that follows the configuration running, the log was closed, and that duty's next line panicked (send on closed channel). By reading, each shutdown that outlives its deadline can end in this way.

--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -26,18 +26,20 @@
 
 	lines              chan []byte
 	droppedSinceReport atomic.Int64
-	done               chan struct{}
+	// closing is closed by Close, done once the goroutine has ended.
+	closing, done chan struct{}
 }
 
 // NewWriter returns a writer and starts its goroutine, which Close ends.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{Out: out, lines: make(chan []byte, queueSize), done: make(chan struct{})}
+	w := &Writer{Out: out, lines: make(chan []byte, queueSize), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write queues a copy of one line and never blocks. If the queue is full, it drops and counts the
-// line. It always reports success.
+// line. Lines written after Close are lost: a duty can outlive a shutdown that has run out of time. It always
+// reports success.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -48,9 +50,9 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines and ends the goroutine. Write must not be called afterwards.
+// Close writes the queued lines and ends the goroutine.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.closing)
 	<-w.done
 }
 
@@ -60,12 +62,11 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case line, ok := <-w.lines:
-			if !ok {
-				return
-			}
-			// Errors are ignored: there is no other place to report that the output is closed.
-			_, _ = w.Out.Write(line)
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.closing:
+			w.drain()
+			return
 		case <-ticker.C:
 			if n := w.droppedSinceReport.Swap(0); n > 0 {
 				_, _ = fmt.Fprintf(w.Out, `{"level":"warn","message":"log lines dropped","fields":{"lines":%d}}`+"\n", n)
@@ -73,3 +74,20 @@
 		}
 	}
 }
+
+// drain writes the lines that are queued.
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+// write ignores errors: there is no other place to report that the output is closed.
+func (w *Writer) write(line []byte) {
+	_, _ = w.Out.Write(line)
+}
