internal/cell: batch steps go on counting all promises

What changed for batch steps is that only calls for steps before them in the order count, so that they make more calls, name more executors and write larger commits, which urgent jobs wait for; and each look at an executor went through its promises. That it is the cause is not proved yet.

The order counts for long-running steps only, which the fault was about; the others look at the sum, as before.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -200,18 +200,21 @@
 }
 
 // fitsBesidePromises returns for how many tasks of the step an executor with the given free CPU in
-// millicores has room beside what slow calls in flight are likely to claim. Only calls for steps that come
-// first in scheduling order count: the tasks of the others give way to those of this step.
+// millicores has room beside what slow calls in flight are likely to claim. For a long-running step only
+// calls for steps that come first in scheduling order count: the tasks of the others give way to those of
+// this step. For the others all count, which spreads the steps of a backlog over the executors and saves
+// calls, and with them commits.
 func (st *stepState) fitsBesidePromises(ex *executor, freeCPU int64) int {
+	need := max(st.spec.Reserved().CPUMillis, 1)
+	if !st.spec.LongRunning {
+		return int(max(freeCPU-ex.promisedCPU, 0) / need)
+	}
 	for other, cpu := range ex.promises {
 		if !other.job.State.Final() && schedulesBefore(other, st) {
 			freeCPU -= cpu
 		}
 	}
-	need := max(st.spec.Reserved().CPUMillis, 1)
-	if st.spec.LongRunning {
-		freeCPU += need / 2 // a promise of less than half a task does not take the only place
-	}
+	freeCPU += need / 2 // a promise of less than half a task does not take the only place
 	return int(max(freeCPU, 0) / need)
 }
 
@@ -336,7 +339,9 @@
 	}
 	perTask := share * min(1, float64(len(st.pending))/total) * float64(st.spec.Reserved().CPUMillis)
 	for _, ex := range named {
-		ex.promises[st] = int64(perTask * float64(st.asking[ex.ID].fits))
+		cpu := int64(perTask * float64(st.asking[ex.ID].fits))
+		ex.promises[st] = cpu
+		ex.promisedCPU += cpu
 	}
 }
 
@@ -491,7 +496,9 @@
 	}
 	c.extendHolds(now, req, allowed, validity)
 	for _, id := range req.Executors {
-		delete(st.asking[id].ex.promises, st)
+		ex := st.asking[id].ex
+		ex.promisedCPU -= ex.promises[st]
+		delete(ex.promises, st)
 		delete(st.asking, id)
 	}
 	st.fullScan = true
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -137,8 +137,9 @@
 	// machineCrashes is the number of crashes of its machine within crashWindow.
 	machineCrashes int
 	// promises holds, by step, the CPU in millicores that slow calls to the policy service in flight are
-	// expected to claim here.
-	promises map[*stepState]int64
+	// expected to claim here, promisedCPU their sum.
+	promises    map[*stepState]int64
+	promisedCPU int64
 	// holds holds until when room for one task is held here, by long-running step.
 	holds map[*stepState]time.Time
 	// slowdown is the average run time on this executor relative to the estimates; 1 is normal.
