cell: a start that has not run is no crash, and a replaced executor gets no starts

Cause: an executor whose address another one had taken stayed schedulable until the second missed poll, and a start that was rejected with 421 counted as a crash of the executor by its task.

Change: one table says what each response proves about a start. A start that has certainly not run is given back without a trace; one whose response is due when its executor falls silent is blamed only once that response shows that it may have run. Any response of another executor at the address, also to a command without a run, cordons the executor at once. A connection that cannot be opened proves that nothing was sent. Each crash that counts is logged.

The simulation answers a refused connection with the new status, as platform/ does.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -186,14 +186,35 @@
 		return false
 	}
 	r.commandPending = false
-	if r.unconfirmed || r.mayStartLate || !r.confirmedAt.IsZero() {
-		// An earlier attempt was executed or still may be.
+	if r.mayHaveRun() {
 		c.sendStop(r)
 		return true
 	}
+	c.giveBack(now, r)
+	return true
+}
+
+// mayHaveRun reports whether an attempt to start the run was executed or may still be. The response to one that is
+// in flight decides about that one.
+func (r *run) mayHaveRun() bool {
+	return r.unconfirmed || r.mayStartLate || !r.confirmedAt.IsZero()
+}
+
+// awaitsProof reports whether the response to the only attempt to start the run is still due.
+func (r *run) awaitsProof() bool {
+	return r.commandPending && !r.mayHaveRun()
+}
+
+// giveBack makes the task of a run pending again that was certainly not started. Nothing of it counts: neither
+// as a run, nor as a trial, nor as one that a crash has ended.
+func (c *Core) giveBack(now time.Time, r *run) {
+	c.withdrawCrash(r.job, r.task, r.number)
+	if r.ex.trial == r {
+		r.ex.trial = nil
+	}
+	r.job.startedRuns--
 	c.detach(r)
 	c.applyEndToJob(now, r.job, r.task, r.number, fleet.Lost, "", r)
-	return true
 }
 
 // ApplyCommandResponse applies the response to a command.
@@ -203,12 +224,20 @@
 		c.loseOwnership("executor " + cmd.Executor.ID)
 		return
 	}
-	if r == nil || r.ex.runs[r.key] != r {
-		return
+	attached := r != nil && r.ex.runs[r.key] == r
+	if attached {
+		r.commandPending = false
+	} else if r != nil && cmd.Start != nil {
+		c.applyLateProof(now, r, resp)
 	}
-	r.commandPending = false
 	if resp.Status == fleet.WrongExecutor {
-		c.handleReplacement(now, r.ex)
+		if attached && cmd.Start != nil && !r.mayHaveRun() {
+			c.giveBack(now, r)
+		}
+		c.handleReplacementAt(now, cmd.Executor)
+		return
+	}
+	if !attached {
 		return
 	}
 	switch {
@@ -223,9 +252,26 @@
 	}
 }
 
+// applyLateProof applies the response to the start of a run that was given up meanwhile: it decides whether the run
+// may have caused the crash of its executor.
+func (c *Core) applyLateProof(now time.Time, r *run, resp fleet.Response) {
+	if !r.blameDeferred {
+		return
+	}
+	r.blameDeferred = false
+	switch resp.Status.ProofOfStart() {
+	case fleet.HasNotRun:
+		return
+	case fleet.HasRun:
+		r.confirm(now, resp.Clock, resp.HasClock)
+	case fleet.MayRun:
+	}
+	c.recordTaskCrash(now, r, r.ex.crashed, resp.Status.String())
+}
+
 func (c *Core) applyStopResponse(now time.Time, cmd Command, resp fleet.Response) {
 	r := cmd.run
-	if resp.Status == fleet.NoResponse || resp.Status == fleet.Unavailable {
+	if resp.Status.Silent() || resp.Status == fleet.Unavailable {
 		c.Stats.Resent++
 		c.sendStop(r)
 		c.commands[len(c.commands)-1].Attempt = cmd.Attempt + 1
@@ -238,8 +284,8 @@
 
 func (c *Core) applyStartResponse(now time.Time, cmd Command, resp fleet.Response) {
 	r := cmd.run
-	switch resp.Status {
-	case fleet.Executed, fleet.AlreadyEnded:
+	switch resp.Status.ProofOfStart() {
+	case fleet.HasRun:
 		if resp.Status == fleet.AlreadyEnded && cmd.Attempt == 0 && !r.stopping {
 			// An earlier owner has used more numbers than its range holds. The next range overlaps with the
 			// next owner's, which moves on in the same way.
@@ -251,24 +297,24 @@
 			r.progressKnown, r.progressClock = true, r.confirmedClock
 		}
 		return
-	case fleet.NoResponse:
+	case fleet.MayRun:
 		r.unconfirmed, r.mayStartLate = true, true
-		r.ex.unconfirmedStarts++
-		c.secondPolls = append(c.secondPolls, r.ex.ID)
+		c.awaitResponse(r.ex)
 		r.ex.lateStarts = append(r.ex.lateStarts, lateStart{task: r.task, number: r.number, sentAt: now})
-		if r.stopping {
-			return
+		if r.blameDeferred {
+			r.blameDeferred = false
+			c.presumeTaskCrash(now, r, "start without a response")
 		}
-		c.Stats.Resent++
-		r.commandPending = true
-		retry := Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1}
-		if c.OwnershipConfirmed(now) {
-			c.commands = append(c.commands, retry)
+		c.retryStart(now, cmd)
+		return
+	case fleet.HasNotRun:
+	}
+	if resp.Status == fleet.NotSent {
+		c.awaitResponse(r.ex)
+		if r.mayHaveRun() {
+			c.retryStart(now, cmd)
 			return
 		}
-		// The executor may restart, lose the epoch of a successor and accept an outdated start.
-		c.heldStarts = append(c.heldStarts, retry)
-		return
 	}
 	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("verdict", resp.Status.String()).
@@ -287,6 +333,28 @@
 		c.stopRun(now, r, "start rejected after an unconfirmed one")
 		return
 	}
-	c.detach(r)
-	c.applyEndToJob(now, r.job, r.task, r.number, fleet.Lost, "", r)
+	c.giveBack(now, r)
+}
+
+// awaitResponse keeps new tasks from an executor that did not respond to a start until it responds to a poll.
+func (c *Core) awaitResponse(ex *executor) {
+	ex.unconfirmedStarts++
+	c.secondPolls = append(c.secondPolls, ex.ID)
+}
+
+// retryStart sends a start again whose earlier attempt may have been executed.
+func (c *Core) retryStart(now time.Time, cmd Command) {
+	r := cmd.run
+	if r.stopping {
+		return
+	}
+	c.Stats.Resent++
+	r.commandPending = true
+	retry := Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1}
+	if c.OwnershipConfirmed(now) {
+		c.commands = append(c.commands, retry)
+		return
+	}
+	// The executor may restart, lose the epoch of a successor and accept an outdated start.
+	c.heldStarts = append(c.heldStarts, retry)
 }
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -230,6 +230,9 @@
 	// mayStartLate is set when a start timed out and may still be executed.
 	mayStartLate bool
 	stopping     bool
+	// blameDeferred is set when the executor fell silent or crashed while the response was due that tells
+	// whether the run was started.
+	blameDeferred bool
 	// outlivedStart is set once the executor has listed the run of a suspicious job so long after its start
 	// that it is not the cause of a crash right after it.
 	outlivedStart bool
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -132,17 +132,32 @@
 	if ex.Draining {
 		return
 	}
-	c.silences = append(c.silences, silence{
-		executor: ex.ID, at: ex.silentSince, explained: ex.hasUnprovenRuns(),
-	})
+	c.recordSilence(ex)
 	for _, r := range ex.sortedRuns() {
-		if r.unproven() && c.recordTaskCrash(now, r, false) {
-			c.writes.recordDue = true
-			c.presumedOn[ex.ID] = append(c.presumedOn[ex.ID], flow.RunID{Task: r.task, Number: r.number})
+		switch {
+		case r.awaitsProof():
+			r.blameDeferred = true
+		case r.unproven():
+			c.presumeTaskCrash(now, r, "executor does not respond")
 		}
 	}
 }
 
+// recordSilence records that an executor has stopped responding, unless it was about to leave.
+func (c *Core) recordSilence(ex *executor) {
+	if !ex.Draining {
+		c.silences = append(c.silences, silence{executor: ex.ID, at: ex.silentSince, explained: ex.hasUnprovenRuns()})
+	}
+}
+
+// presumeTaskCrash records a crash for a run that may have caused the silence of its executor.
+func (c *Core) presumeTaskCrash(now time.Time, r *run, evidence string) {
+	if r.ex.missedPolls >= maxMissedPolls && c.recordTaskCrash(now, r, false, evidence) {
+		c.writes.recordDue = true
+		c.presumedOn[r.ex.ID] = append(c.presumedOn[r.ex.ID], flow.RunID{Task: r.task, Number: r.number})
+	}
+}
+
 // recordCrash records the crash of an executor for the given runs on it. An executor that was draining
 // left as planned.
 func (c *Core) recordCrash(now time.Time, ex *executor, runs []*run, evidence string) {
@@ -167,7 +182,11 @@
 		if r.startedAt.After(youngest.startedAt) {
 			youngest = r
 		}
-		c.recordTaskCrash(now, r, true)
+		if r.awaitsProof() {
+			r.blameDeferred = true
+			continue
+		}
+		c.recordTaskCrash(now, r, true, evidence)
 		if task := r.job.Task(r.task); task != nil && len(task.Crashes) > 1 {
 			c.Stats.RepeatedCrashes++
 		}
@@ -203,7 +222,7 @@
 
 // recordTaskCrash records the crash of its executor for the task of a run, and reports whether that
 // changed anything.
-func (c *Core) recordTaskCrash(now time.Time, r *run, confirmed bool) bool {
+func (c *Core) recordTaskCrash(now time.Time, r *run, confirmed bool, evidence string) bool {
 	expected, disrupted := c.expectsCrash(r), c.isDisrupted(r)
 	if !r.unproven() && (disrupted || expected) {
 		c.withdrawCrash(r.job, r.task, r.number)
@@ -217,6 +236,11 @@
 	if !r.job.RecordCrash(r.task, crash) {
 		return false
 	}
+	c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
+		WithField("run", r.number).WithField("executor", r.ex.ID).WithField("why", evidence).
+		WithField("run_confirmed", !r.confirmedAt.IsZero()).WithField("certain", crash.Confirmed).
+		WithField("at_start", crash.AtStart).WithField("alone", crash.Alone).
+		WithField("crashes", r.job.crashes(r.task)).Info("crash counted against task")
 	if !r.job.State.Final() {
 		c.writes.markDirty(r.job)
 	}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -329,13 +329,22 @@
 		if timesOut && (!arrives || x.incarnation != received) {
 			return // the executor never received the command, or restarted before executing it
 		}
+		if sim.rejections > 0 && cmd.Start != nil && !x.down && !x.replaced {
+			sim.rejections--
+			reply(fleet.Response{Status: sim.rejection})
+			x.crash(sim)
+			return
+		}
 		if x.replaced {
+			if cmd.Start != nil {
+				sim.misdirectedStarts[x.ID]++
+			}
 			reply(fleet.Response{Status: fleet.WrongExecutor})
 			return
 		}
 		if !o.reaches(x) {
 			if x.refuses && !timesOut {
-				reply(fleet.Response{Status: fleet.NoResponse, Cause: "connection refused"})
+				reply(fleet.Response{Status: fleet.NotSent, Cause: "connection refused"})
 			} else if !timesOut {
 				sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
 			}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -30,8 +30,11 @@
 		c.loseOwnership("executor " + id)
 		return
 	case fleet.WrongExecutor:
+		if ex.claimed && sent.Before(ex.incarnationSince) {
+			return // the executor has started again at its address since
+		}
+		c.Stats.MissedPolls++
 		c.handleReplacement(now, ex)
-		c.recordMissedPoll(now, ex, resp)
 		return
 	default:
 		c.recordMissedPoll(now, ex, resp)
@@ -197,8 +200,19 @@
 	ex.lateStarts = nil
 }
 
-// handleReplacement marks the runs of an executor as lost whose address another executor has taken.
+// handleReplacement gives up an executor whose address another executor has taken: it is gone with all its runs,
+// and gets no commands until it responds again.
 func (c *Core) handleReplacement(now time.Time, ex *executor) {
+	if ex.missedPolls == 0 {
+		ex.silentSince = now
+	}
+	if ex.missedPolls < maxMissedPolls {
+		ex.missedPolls = maxMissedPolls
+		c.recordSilence(ex)
+		c.updateCordon(ex)
+		c.Log.WithField("executor", ex.ID).WithField("address", ex.Address).WithField("runs", len(ex.runs)).
+			Warn("another executor responds at the address of the executor")
+	}
 	runs := ex.sortedRuns()
 	c.recordCrash(now, ex, runs, "another executor responds at its address")
 	for _, r := range runs {
@@ -206,6 +220,13 @@
 	}
 }
 
+// handleReplacementAt does that for the executor to which a command was sent, unless it has another address now.
+func (c *Core) handleReplacementAt(now time.Time, e fleet.Executor) {
+	if ex := c.executors[e.ID]; ex != nil && ex.Address == e.Address {
+		c.handleReplacement(now, ex)
+	}
+}
+
 // applyEnd applies an ended run that the executor lists and that was not applied before.
 func (c *Core) applyEnd(now time.Time, ex *executor, e *fleet.End) {
 	if e.Sequence <= ex.appliedSequence {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -92,6 +92,13 @@
 	// endedAt is when the final states of jobs were stored.
 	endedAt map[string]time.Time
 
+	// rejections is the number of further starts that are rejected with the status rejection, each by an
+	// executor that crashes then.
+	rejections int
+	rejection  fleet.Status
+	// misdirectedStarts counts, by executor, the starts that reached another one at its address.
+	misdirectedStarts map[string]int
+
 	// sentCommands are the commands of all owners.
 	sentCommands []cell.Command
 
@@ -218,7 +225,8 @@
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
 		failureShare: 0.02, advisers: numAdvisers,
 		history: make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
-		submittedTo: make(map[string]map[string]bool), hopeless: make(map[fleet.TaskID]bool),
+		misdirectedStarts: make(map[string]int),
+		submittedTo:       make(map[string]map[string]bool), hopeless: make(map[fleet.TaskID]bool),
 		deadly: make(map[fleet.TaskID]bool), crashes: make(map[fleet.TaskID][]time.Time), crashAfter: usualCrashAfter,
 		config: &fleet.Config{Version: 1, Queues: []fleet.Queue{
 			{Name: testQueue, Service: testService, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -93,9 +93,12 @@
 	// Undelivered means that the instance that makes the call did not return a result in time, which says
 	// nothing about the executor.
 	Undelivered
+	// NotSent means that no connection to the executor could be opened: no process listens at its address, or
+	// the address cannot be reached.
+	NotSent
 )
 
-var statusNames = [...]string{"obeyed", "silent", "fenced", "outdated", "late", "no_room", "no_ticket", "unwell", "other_life", "malformed", "undelivered"}
+var statusNames = [...]string{"obeyed", "silent", "fenced", "outdated", "late", "no_room", "no_ticket", "unwell", "other_life", "malformed", "undelivered", "not_sent"}
 
 // String returns the name used in logs.
 func (s Status) String() string {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -129,7 +129,7 @@
 // after the pause; otherwise result is what the owner gets.
 func (w *Watch) Handle(now, sent time.Time, resp fleet.Response) (result fleet.Response, done bool, pause time.Duration) {
 	switch {
-	case resp.Status == fleet.NoResponse:
+	case resp.Status.Silent():
 		w.silent++
 		if sent.After(w.silentSent) {
 			w.silentSent = sent
