cell, flow, ledger: what one job contains stops no other

Cause: the progress of the job did not fit into a row. The refusal (400) was taken for an outage and the commit repeated for ever, so that the ownership was not renewed and all leases expired.

Change: progress is written in parts of bounded size, which count once all are stored, and what a task keeps is bounded. A refusal for content renews the ownership without the rows, and the job that causes it is found by halving the commit: a new one is rejected, another set aside and tried again.

The simulated store refuses what exceeds the platform's limits in all tests.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -184,10 +184,15 @@
 	recordedOn map[string]bool
 	// inCommit is set once the job is part of a commit.
 	inCommit bool
-	// specPage and progressPage are the rows that hold its latest spec and progress entries, placesPages those
+	// specPage and progressPages are the rows that hold its latest spec and progress entries, placesPages those
 	// that hold its places.
-	specPage, progressPage *page
-	placesPages            []*page
+	specPage                   *page
+	progressPages, placesPages []*page
+	// partPages are the rows of newer progress of which not all parts are stored, splitNumber is its number.
+	partPages   []*page
+	splitNumber int64
+	// waitingParts is the number of parts of its progress that are in no commit yet.
+	waitingParts int
 	// placesWritten is the number of its executors that are stored or in a commit.
 	placesWritten int
 	// pageCount is the number of rows with an entry of the job, current or outdated.
@@ -437,5 +442,6 @@
 	if c.StoreUnavailable(now) {
 		c.rejectUnstored(now)
 	}
+	c.writes.isolation.retry(now)
 	c.writes.expire(c, now)
 }
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -352,8 +352,14 @@
 		sent, err := d.Ledger.Commit(ctx, b.Puts, b.Deletes)
 		d.postEarly(d.commits, func(now time.Time) {
 			d.committing = false
-			defer func() { finishAbsent(now, absent, err) }()
 			d.observeCommit(now.Sub(d.renewedAt), b)
+			if errors.Is(err, ledger.ErrInvalid) {
+				d.core.ConfirmOwnership(sent)
+				d.core.BatchInvalid(now, b)
+				finishAbsent(now, absent, nil)
+				return
+			}
+			defer func() { finishAbsent(now, absent, err) }()
 			if err != nil {
 				d.handleCommitError(now, b, err)
 				return
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -122,6 +122,9 @@
 	appliedSequence int64
 	ackedSequence   int64
 
+	// unackedEnds are the ended runs that were applied and are not acknowledged.
+	unackedEnds []unackedEnd
+
 	// lateStarts are starts that timed out and may still be executed.
 	lateStarts []lateStart
 
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -236,6 +236,17 @@
 			o.dead = true
 			return
 		}
+		if sim.refusesContent(b) {
+			sim.schedule(messageDelay, func() {
+				o.handle(commitWork, func() {
+					o.committing = false
+					o.core.ConfirmOwnership(sent)
+					o.core.BatchInvalid(sim.now, b)
+					o.decide()
+				})
+			})
+			return
+		}
 		for _, put := range b.Puts {
 			sim.rows[put.Key] = put.Value
 			if sim.keepPuts {
--- a/internal/cell/page.go
+++ b/internal/cell/page.go
@@ -19,13 +19,22 @@
 	jobs []*job
 	// prefix is the one of its key. It tells whether the row holds specs, places, or progress and final states.
 	prefix string
-	// whole holds, for a row of places that is not stored yet, which entries replace the earlier ones of their
-	// jobs.
-	whole []bool
+	// kinds holds what the entries replace, until the row is stored.
+	kinds []entryKind
 	// liveEntries is the number of current entries.
 	liveEntries int
 }
 
+// entryKind tells what an entry replaces once it is stored.
+type entryKind struct {
+	// whole is set for places that replace the earlier ones of their job.
+	whole bool
+	// parts is the number of parts of progress that has more than one; they share the splitNumber, and replace
+	// what is stored once all of them are.
+	parts       int
+	splitNumber int64
+}
+
 // pageWriter collects entries into rows of a batch.
 type pageWriter struct {
 	core   *Core
@@ -34,7 +43,7 @@
 
 	record wire.PageRecord
 	jobs   []*job
-	whole  []bool
+	kinds  []entryKind
 	// size is the size of the entries in the unfinished row.
 	size int
 }
@@ -49,7 +58,9 @@
 	}
 	p.record.Entries = append(p.record.Entries, e)
 	p.jobs = append(p.jobs, j)
-	p.whole = append(p.whole, e.GetPlaces().GetWhole())
+	p.kinds = append(p.kinds, entryKind{
+		whole: e.GetPlaces().GetWhole(), parts: int(e.GetProgress().GetParts()), splitNumber: e.GetProgress().GetSplitNumber(),
+	})
 	p.size += n
 	p.batch.bytes += n
 	return nil
@@ -68,8 +79,8 @@
 	// Keys sort by the time of writing, across all owners.
 	key := fmt.Sprintf("%s%010d.%010d", p.prefix, p.core.Epoch, p.core.writes.pageSerial)
 	p.batch.Puts = append(p.batch.Puts, table.Put{Key: key, Value: value})
-	p.batch.pages = append(p.batch.pages, &page{key: key, jobs: p.jobs, prefix: p.prefix, whole: p.whole})
-	p.record.Entries, p.jobs, p.whole, p.size = nil, nil, nil, 0
+	p.batch.pages = append(p.batch.pages, &page{key: key, jobs: p.jobs, prefix: p.prefix, kinds: p.kinds})
+	p.record.Entries, p.jobs, p.kinds, p.size = nil, nil, nil, 0
 	return nil
 }
 
@@ -77,13 +88,47 @@
 func (c *Core) pageStored(p *page) {
 	for i, j := range p.jobs {
 		j.pageCount++
-		if p.prefix == ledger.PlacesPrefix {
-			c.addPlacesPage(p, j, p.whole[i])
-		} else {
-			c.assignPage(p, j)
+		switch kind := p.kinds[i]; {
+		case p.prefix == ledger.PlacesPrefix:
+			c.addPlacesPage(p, j, kind.whole)
+		case p.prefix == ledger.JobPrefix:
+			p.liveEntries++
+			c.releasePage(j.specPage)
+			j.specPage = p
+		case kind.parts > 0:
+			c.addProgressPart(p, j, kind)
+		default:
+			c.setProgressPages(j, []*page{p})
 		}
 	}
-	p.whole = nil
+	p.kinds = nil
+}
+
+// addProgressPart adds a row with a part of a job's progress. Until all parts are stored, the former progress is
+// the current one.
+func (c *Core) addProgressPart(p *page, j *job, kind entryKind) {
+	if kind.splitNumber != j.splitNumber {
+		c.releasePages(j.partPages)
+		j.partPages, j.splitNumber = nil, kind.splitNumber
+	}
+	p.liveEntries++
+	j.partPages = append(j.partPages, p)
+	if len(j.partPages) == kind.parts {
+		complete := j.partPages
+		j.partPages = nil
+		c.setProgressPages(j, complete)
+		c.releasePages(complete) // each of them was counted as a part already
+	}
+}
+
+// setProgressPages makes the rows those that hold the current progress of a job.
+func (c *Core) setProgressPages(j *job, pages []*page) {
+	for _, p := range pages {
+		p.liveEntries++
+	}
+	c.releasePages(j.progressPages)
+	c.releasePages(j.partPages)
+	j.progressPages, j.partPages = pages, nil
 }
 
 // addPlacesPage makes the entry of a job in a row of places count. One that is whole replaces the earlier ones.
@@ -97,21 +142,15 @@
 
 // releasePlaces records that all places of a job are outdated.
 func (c *Core) releasePlaces(j *job) {
-	for _, p := range j.placesPages {
-		c.releasePage(p)
-	}
+	c.releasePages(j.placesPages)
 	j.placesPages = nil
 }
 
-// assignPage makes p the row that holds the current entry of a job.
-func (c *Core) assignPage(p *page, j *job) {
-	current := &j.progressPage
-	if p.prefix == ledger.JobPrefix {
-		current = &j.specPage
+// releasePages records that one entry of each row is outdated.
+func (c *Core) releasePages(pages []*page) {
+	for _, p := range pages {
+		c.releasePage(p)
 	}
-	p.liveEntries++
-	c.releasePage(*current)
-	*current = p
 }
 
 // releasePage records that one entry of a row is outdated.
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -168,7 +168,7 @@
 	c.recordCrash(now, ex, lost, "executor restarted")
 	ex.incarnation, ex.incarnationSince = newIncarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
-	ex.appliedSequence, ex.ackedSequence = 0, 0
+	ex.appliedSequence, ex.ackedSequence, ex.unackedEnds = 0, 0, nil
 	delete(c.unacked, ex.ID)
 	ex.recordSuccess()
 	ex.slowdown = 1
@@ -245,6 +245,7 @@
 	if j == nil {
 		return
 	}
+	ex.unackedEnds = append(ex.unackedEnds, unackedEnd{e.Sequence, j})
 	c.withdrawCrash(j, e.Task, e.Number)
 	if e.Kind == fleet.Failed {
 		if j.RecordSurvivedStart(e.Task, e.Number, true) {
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -23,26 +23,31 @@
 	specs, progress, ends := c.readEntries(rows.Jobs), c.readEntries(rows.Progress), c.readEntries(rows.Ends)
 	places := c.readEntries(rows.Places)
 	executors := placesOf(places)
-	latestProgress := latestEntries(append(progress, ends...))
+	latestProgress := completeProgress(append(progress, ends...))
 	latestSpecs := latestEntries(specs)
-	for id, e := range latestProgress {
-		if err := c.restoreJob(now, id, latestSpecs[id].entry.GetSpec(), e.entry.GetProgress(), executors[id]); err != nil {
+	for id, parts := range latestProgress {
+		var records []*wire.ProgressRecord
+		var pages []*page
+		for _, e := range parts {
+			records, pages = append(records, e.entry.GetProgress()), append(pages, e.page)
+		}
+		if err := c.restoreJob(now, id, latestSpecs[id].entry.GetSpec(), records, executors[id]); err != nil {
 			c.Log.WithField("job", id).WithError(err).Error("skipping job that cannot be restored")
 			delete(latestSpecs, id)
 			continue
 		}
-		c.assignPage(e.page, c.jobs[id])
+		c.setProgressPages(c.jobs[id], pages)
 	}
 	for id, e := range latestSpecs {
 		if c.jobs[id] == nil {
-			initial := &wire.ProgressRecord{Queue: e.entry.GetSpec().GetQueue(), State: flow.Pending.String()}
-			if err := c.restoreJob(now, id, e.entry.GetSpec(), initial, executors[id]); err != nil {
+			if err := c.restoreJob(now, id, e.entry.GetSpec(), nil, executors[id]); err != nil {
 				c.Log.WithField("job", id).WithError(err).Error("skipping job that cannot be restored")
 				continue
 			}
 		}
-		if !c.jobs[id].State.Final() {
-			c.assignPage(e.page, c.jobs[id])
+		if j := c.jobs[id]; !j.State.Final() {
+			e.page.liveEntries++
+			j.specPage = e.page
 		}
 	}
 	for _, e := range currentPlaces(places) {
@@ -142,6 +147,32 @@
 	return out
 }
 
+// completeProgress returns the last progress of each job of which all parts are stored.
+func completeProgress(entries []storedEntry) map[string][]storedEntry {
+	out := make(map[string][]storedEntry, len(entries))
+	incomplete := make(map[string][]storedEntry)
+	for _, e := range entries {
+		id, r := e.entry.GetJob(), e.entry.GetProgress()
+		if r.GetParts() == 0 {
+			out[id] = []storedEntry{e}
+			delete(incomplete, id)
+			continue
+		}
+		parts := incomplete[id]
+		if len(parts) > 0 && parts[0].entry.GetProgress().GetSplitNumber() != r.GetSplitNumber() {
+			parts = nil
+		}
+		parts = append(parts, e)
+		if int64(len(parts)) < r.GetParts() {
+			incomplete[id] = parts
+			continue
+		}
+		out[id] = parts
+		delete(incomplete, id)
+	}
+	return out
+}
+
 // openJobs returns the number of jobs that have not ended.
 func (c *Core) openJobs() int {
 	n := 0
@@ -153,9 +184,13 @@
 	return n
 }
 
-func (c *Core) restoreJob(now time.Time, id string, spec *wire.JobRecord, progress *wire.ProgressRecord, executors []string) error {
+func (c *Core) restoreJob(now time.Time, id string, spec *wire.JobRecord, progress []*wire.ProgressRecord, executors []string) error {
 	attempts := flow.UnknownAttempts
-	q := c.config.Queue(progress.GetQueue())
+	queue := spec.GetQueue()
+	if len(progress) > 0 {
+		queue = progress[0].GetQueue()
+	}
+	q := c.config.Queue(queue)
 	if q != nil {
 		attempts = q.MaxAttempts
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -40,6 +41,11 @@
 	puts     []table.Put
 	keepPuts bool
 
+	// refusesRow makes the store refuse the content of commits with such a row; it may be nil. refusedRows counts
+	// the commits refused for their content.
+	refusesRow  func(put table.Put) bool
+	refusedRows int
+
 	// storeRefuses makes the store refuse all commits.
 	storeRefuses bool
 	// listStalled keeps the owners from reading the instance list.
@@ -379,3 +385,32 @@
 		sim.t.Error(v)
 	}
 }
+
+const (
+	// Limits of the platform's store on the size of a row and on a transaction, whose values are in base64.
+	maxRowBytes           = 65536
+	maxTransactionBytes   = 1_000_000
+	maxTransactionEntries = 100
+)
+
+// refusesContent reports whether the store refuses a commit for its content. Only what refusesRow names may be refused.
+func (sim *simulation) refusesContent(b *cell.Batch) bool {
+	// The owner's row is written under a condition besides.
+	size, entries := 0, 2+len(b.Puts)+len(b.Deletes)
+	for _, put := range b.Puts {
+		size += base64.StdEncoding.EncodedLen(len(put.Value))
+		if sim.refusesRow != nil && sim.refusesRow(put) {
+			sim.refusedRows++
+			return true
+		}
+		if len(put.Value) > maxRowBytes {
+			sim.addViolation("row %s has %d bytes", put.Key, len(put.Value))
+			return true
+		}
+	}
+	if size > maxTransactionBytes || entries > maxTransactionEntries {
+		sim.addViolation("a commit has %d bytes and %d entries", size, entries)
+		return true
+	}
+	return false
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -58,16 +58,16 @@
 // rejectUnstored rejects the jobs that are not in a commit yet, so that nothing about them is stored.
 func (c *Core) rejectUnstored(now time.Time) {
 	for _, j := range c.writes.newJobs {
-		c.reject(now, j)
+		c.reject(now, j, "store does not answer")
 	}
 	c.writes.newJobs = nil
 }
 
 // reject drops a job that is not stored and of which no task has run.
-func (c *Core) reject(now time.Time, j *job) {
+func (c *Core) reject(now time.Time, j *job, reason string) {
 	c.Stats.Rejected++
 	c.Log.WithField("job", j.ID).WithField("store_silent_ms", now.Sub(c.confirmedAt).Milliseconds()).
-		WithField("store_refuses", c.storeRefuses).Info("job rejected before it was stored")
+		WithField("store_refuses", c.storeRefuses).WithField("why", reason).Info("job rejected before it was stored")
 	for _, st := range j.steps {
 		c.dequeue(st)
 	}
@@ -80,7 +80,7 @@
 		c.pendingJobs[j.Spec.Queue]--
 	}
 	for _, reply := range j.submitReplies {
-		reply(Reply{Outcome: Rejected, Reason: "store does not answer", RetryAfter: rejectRetryAfter})
+		reply(Reply{Outcome: Rejected, Reason: reason, RetryAfter: rejectRetryAfter})
 	}
 	for _, reply := range j.cancelReplies {
 		reply(Reply{Outcome: Absent})
--- a/internal/cell/writes.go
+++ b/internal/cell/writes.go
@@ -45,6 +45,28 @@
 	deferredSince time.Time
 	// lastExpiry is when ended jobs were last scanned for expiry.
 	lastExpiry time.Time
+	// parts are parts of progress records that do not fit into the next commit, splitSerial is the number of
+	// records that were split in this epoch.
+	parts       []progressPart
+	splitSerial int64
+	// heldAcks are the acknowledgements that are due once the last of parts is stored.
+	heldAcks *acks
+	// isolation finds the job whose entries the store refuses.
+	isolation isolation
+}
+
+// progressPart is one part of the progress of a job.
+type progressPart struct {
+	job    *job
+	record *wire.ProgressRecord
+}
+
+// acks are acknowledgements of ended runs.
+type acks struct {
+	// sequences holds, by executor, the sequence number up to which ended runs are acknowledged. It is valid
+	// only for the incarnation in incarnations.
+	sequences    map[string]int64
+	incarnations map[string]int64
 }
 
 func (pw *pendingWrites) prepare() {
@@ -74,10 +96,10 @@
 	dropped []*page
 	// bytes is the total size of the entries.
 	bytes int
-	// ackedSequences holds, by executor, the sequence number up to which ended runs are acknowledged once
-	// the batch is stored. It is valid only for the incarnation in incarnations.
-	ackedSequences map[string]int64
-	incarnations   map[string]int64
+	// acks are the acknowledgements that are due once the batch is stored; nil means none.
+	acks *acks
+	// parts are the parts of progress that the batch stores.
+	parts []progressPart
 	// recorded holds the executors of jobs that are stored with the batch.
 	recorded []recordedExecutors
 }
@@ -101,10 +123,10 @@
 // after commitDelay.
 func (c *Core) CommitDue(now time.Time) bool {
 	pw := &c.writes
-	if len(pw.newJobs) > 0 || len(pw.final) > 0 || pw.recordDue {
+	if len(pw.newJobs) > 0 || pw.recordDue || len(pw.isolation.suspects) > 0 || pw.hasUrgent() {
 		return true
 	}
-	if !pw.ackDue && len(pw.dirty)+len(pw.newPlaces)+len(pw.obsoletePages) == 0 {
+	if !pw.ackDue && len(pw.obsoletePages) == 0 && !pw.hasDeferred() {
 		return false
 	}
 	if pw.deferredSince.IsZero() {
@@ -117,6 +139,7 @@
 // ended runs are acknowledged to executors.
 func (c *Core) NextBatch() (*Batch, error) {
 	b := &Batch{}
+	c.writes.isolation.nextTurn()
 	specs := &pageWriter{core: c, batch: b, prefix: ledger.JobPrefix}
 	ends := &pageWriter{core: c, batch: b, prefix: ledger.EndPrefix}
 	places := &pageWriter{core: c, batch: b, prefix: ledger.PlacesPrefix}
@@ -126,6 +149,7 @@
 		func() error { return c.addFinalStates(b, ends) },
 		func() error { return c.addPlaces(b, places) },
 		func() error { return c.addProgress(b, progress) },
+		func() error { return c.addParts(b, progress) },
 		specs.flush, places.flush, progress.flush, ends.flush,
 	} {
 		if err := add(); err != nil {
@@ -133,26 +157,30 @@
 		}
 	}
 	c.addDeletes(b)
-	if pw := &c.writes; len(pw.dirty) == 0 && len(pw.final) == 0 {
-		pw.ackDue = false
-		pw.deferredSince = time.Time{}
-		c.addAcks(b)
-	}
+	c.addAcks(b)
 	return b, nil
 }
 
 // addNewJobs adds the specs of submitted jobs.
 func (c *Core) addNewJobs(b *Batch, pages *pageWriter) error {
 	pw := &c.writes
-	for len(pw.newJobs) > 0 && b.bytes < ledger.MaxCommitBytes {
-		j := pw.newJobs[0]
+	var later []*job
+	for i, j := range pw.newJobs {
+		if b.bytes >= ledger.MaxCommitBytes {
+			later = append(later, pw.newJobs[i:]...)
+			break
+		}
+		if !pw.isolation.allows(j) {
+			later = append(later, j)
+			continue
+		}
 		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Spec: j.Spec.Record()}); err != nil {
 			return err
 		}
 		b.created = append(b.created, j)
 		j.inCommit = true
-		pw.newJobs = pw.newJobs[1:]
 	}
+	pw.newJobs = later
 	return nil
 }
 
@@ -160,19 +188,26 @@
 // yet.
 func (c *Core) addFinalStates(b *Batch, pages *pageWriter) error {
 	pw := &c.writes
-	for len(pw.final) > 0 && b.bytes < ledger.MaxCommitBytes {
-		j := pw.final[0]
-		if slices.Contains(pw.newJobs, j) {
-			return nil
+	var later []*job
+	for i, j := range pw.final {
+		if b.bytes >= ledger.MaxCommitBytes {
+			later = append(later, pw.final[i:]...)
+			break
+		}
+		if !pw.isolation.allows(j) || slices.Contains(pw.newJobs, j) {
+			later = append(later, j)
+			continue
 		}
-		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()}); err != nil {
+		// One part is enough, since no task of an ended job is stored.
+		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Progress: j.Progress()[0]}); err != nil {
 			return err
 		}
 		b.final = append(b.final, j)
 		b.finalStates = append(b.finalStates, j.State)
 		delete(pw.dirty, j.ID)
-		pw.final = pw.final[1:]
+		pw.dropParts(j)
 	}
+	pw.final = later
 	return nil
 }
 
@@ -180,6 +215,10 @@
 // long-running job does not keep rows of many commits.
 const maxPlacesPages = 16
 
+// maxPlacesBytes is the size from which the places of a job are split into several entries, and up to which they
+// are written anew.
+const maxPlacesBytes = 32 << 10
+
 // addPlaces adds the executors on which tasks of jobs may be started from now on. They stand apart from the
 // progress, which is written again with each change.
 func (c *Core) addPlaces(b *Batch, pages *pageWriter) error {
@@ -187,55 +226,133 @@
 	pw.recordDue = false
 	for _, id := range slices.Sorted(maps.Keys(pw.newPlaces)) {
 		j := pw.newPlaces[id]
-		switch {
-		case j.State.Final():
+		if j.State.Final() {
 			delete(pw.newPlaces, id)
 			continue
-		case !j.inCommit:
+		}
+		if !j.inCommit || !pw.isolation.allows(j) {
 			continue
-		case b.bytes >= ledger.MaxCommitBytes:
-			pw.recordDue = true
-			return nil
 		}
-		r := &wire.PlacesRecord{Executors: j.Executors()[j.placesWritten:]}
-		if j.placesWritten == 0 || len(j.placesPages) >= maxPlacesPages {
-			r.Executors, r.Whole = j.Executors(), true
+		ids, whole := j.Executors()[j.placesWritten:], j.placesWritten == 0
+		if len(j.placesPages) >= maxPlacesPages && namesSize(j.Executors()) <= maxPlacesBytes {
+			ids, whole = j.Executors(), true // in one entry: the earlier ones are dropped with it
 		}
-		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Places: r}); err != nil {
-			return err
+		for len(ids) > 0 && b.bytes < ledger.MaxCommitBytes {
+			n := namesThatFit(ids, maxPlacesBytes)
+			if err := pages.add(j, &wire.PageEntry{Job: j.ID, Places: &wire.PlacesRecord{Executors: ids[:n], Whole: whole}}); err != nil {
+				return err
+			}
+			ids, whole = ids[n:], false
+		}
+		written := len(j.Executors()) - len(ids)
+		b.recorded = append(b.recorded, recordedExecutors{job: j, ids: slices.Clone(j.Executors()[j.placesWritten:written])})
+		j.placesWritten = written
+		if len(ids) > 0 {
+			pw.recordDue = true
+			return nil
 		}
-		b.recorded = append(b.recorded, recordedExecutors{job: j, ids: slices.Clone(j.Executors()[j.placesWritten:])})
-		j.placesWritten = len(j.Executors())
 		delete(pw.newPlaces, id)
 	}
 	return nil
 }
 
-// addProgress adds the progress of other jobs. The spec of a job is stored before its progress.
+// namesSize returns the size of names in a record.
+func namesSize(names []string) int {
+	size := 0
+	for _, name := range names {
+		size += nameOverhead + len(name)
+	}
+	return size
+}
+
+// namesThatFit returns how many of the first names have at most the given size; at least one.
+func namesThatFit(names []string, limit int) int {
+	size := 0
+	for i, name := range names {
+		if size += nameOverhead + len(name); size > limit {
+			return max(i, 1)
+		}
+	}
+	return len(names)
+}
+
+// nameOverhead is the size of the tag and the length of a name in a record.
+const nameOverhead = 3
+
+// addProgress adds the progress of other jobs. The spec of a job is stored before its progress. Progress that is split
+// into parts is added by addParts, and not written again before these are stored.
 func (c *Core) addProgress(b *Batch, pages *pageWriter) error {
 	pw := &c.writes
 	for _, id := range slices.Sorted(maps.Keys(pw.dirty)) {
 		j := pw.dirty[id]
-		if !j.inCommit {
+		if !j.inCommit || j.waitingParts > 0 || !pw.isolation.allows(j) {
 			continue
 		}
 		if b.bytes >= ledger.MaxCommitBytes {
 			pw.recordDue = true
 			return nil
 		}
-		progress := j.Progress()
-		if c.formerFollowers && !j.State.Final() {
-			progress.Executors = j.Executors()
+		parts := j.Progress()
+		if c.formerFollowers && !j.State.Final() && namesSize(j.Executors()) <= maxPlacesBytes {
+			parts[0].Executors = j.Executors()
+		}
+		delete(pw.dirty, id)
+		if len(parts) > 1 {
+			pw.addParts(c.Epoch, j, parts)
+			continue
 		}
-		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Progress: progress}); err != nil {
+		if err := pages.add(j, &wire.PageEntry{Job: j.ID, Progress: parts[0]}); err != nil {
 			return err
 		}
 		b.dirty = append(b.dirty, j)
-		delete(pw.dirty, id)
 	}
 	return nil
 }
 
+// addParts adds the parts of a progress record to those that are in no commit yet.
+func (pw *pendingWrites) addParts(epoch int64, j *job, parts []*wire.ProgressRecord) {
+	pw.splitSerial++
+	for _, part := range parts {
+		part.Parts, part.SplitNumber = int64(len(parts)), epoch<<splitSerialBits|pw.splitSerial
+		pw.parts = append(pw.parts, progressPart{j, part})
+	}
+	j.waitingParts = len(parts)
+}
+
+// splitSerialBits is the number of bits of a split number below the epoch.
+const splitSerialBits = 32
+
+// dropParts removes the parts of a job that are in no commit yet.
+func (pw *pendingWrites) dropParts(j *job) {
+	if j.waitingParts > 0 {
+		j.waitingParts = 0
+		pw.parts = slices.DeleteFunc(pw.parts, func(p progressPart) bool { return p.job == j })
+	}
+}
+
+// addParts adds the parts of progress that fit into the batch.
+func (c *Core) addParts(b *Batch, pages *pageWriter) error {
+	pw := &c.writes
+	var later []progressPart
+	for i, p := range pw.parts {
+		if b.bytes >= ledger.MaxCommitBytes {
+			later = append(later, pw.parts[i:]...)
+			break
+		}
+		if !pw.isolation.allows(p.job) {
+			later = append(later, p)
+			continue
+		}
+		if err := pages.add(p.job, &wire.PageEntry{Job: p.job.ID, Progress: p.record}); err != nil {
+			return err
+		}
+		b.parts = append(b.parts, p)
+		p.job.waitingParts--
+	}
+	pw.parts = later
+	return nil
+}
+
 // addDeletes adds deletions of obsolete rows, up to the row limit of a commit.
 func (c *Core) addDeletes(b *Batch) {
 	pw := &c.writes
@@ -246,14 +363,50 @@
 	}
 }
 
-// addAcks records which ended runs can be acknowledged to executors once the batch is stored.
+// addAcks records which ended runs can be acknowledged to executors once the batch is stored: all that were applied,
+// if the batch holds everything that is not stored yet. If parts of progress have to wait, they are acknowledged with
+// the last part.
 func (c *Core) addAcks(b *Batch) {
-	b.ackedSequences = make(map[string]int64)
-	b.incarnations = make(map[string]int64)
+	pw := &c.writes
+	if pw.heldAcks == nil {
+		if pw.hasDirty() || slices.ContainsFunc(pw.final, pw.isolation.mayWrite) {
+			return
+		}
+		pw.ackDue = false
+		pw.deferredSince = time.Time{}
+		pw.heldAcks = c.acknowledge()
+	}
+	if !slices.ContainsFunc(pw.parts, func(p progressPart) bool { return pw.isolation.mayWrite(p.job) }) {
+		b.acks, pw.heldAcks = pw.heldAcks, nil
+	}
+}
+
+// hasUrgent reports whether final states or parts of progress wait for a commit, apart from those of jobs that are set
+// aside.
+func (pw *pendingWrites) hasUrgent() bool {
+	return slices.ContainsFunc(pw.final, pw.isolation.mayWrite) ||
+		slices.ContainsFunc(pw.parts, func(p progressPart) bool { return pw.isolation.mayWrite(p.job) })
+}
+
+// hasDeferred reports the same for progress and places.
+func (pw *pendingWrites) hasDeferred() bool {
+	return pw.hasDirty() || pw.isolation.anyMayWrite(pw.newPlaces)
+}
+
+func (pw *pendingWrites) hasDirty() bool { return pw.isolation.anyMayWrite(pw.dirty) }
+
+// acknowledge returns the acknowledgements of all ended runs that were applied, up to the first one of a job that is
+// set aside.
+func (c *Core) acknowledge() *acks {
+	a := &acks{sequences: make(map[string]int64), incarnations: make(map[string]int64)}
 	for id, ex := range c.unacked {
-		b.ackedSequences[id] = ex.appliedSequence
-		b.incarnations[id] = ex.incarnation
+		a.sequences[id] = ex.appliedSequence
+		a.incarnations[id] = ex.incarnation
+		if len(c.writes.isolation.aside) > 0 {
+			a.sequences[id] = ex.ackableSequence(&c.writes.isolation)
+		}
 	}
+	return a
 }
 
 func (b *Batch) rows() int {
@@ -268,6 +421,14 @@
 			Warn("store refuses commits; rejecting new jobs")
 	}
 	c.storeRefuses = true
+	c.requeue(b)
+	for _, j := range b.created {
+		c.reject(now, j, "store does not answer")
+	}
+}
+
+// requeue makes everything but the new jobs of a batch of which nothing is stored part of later batches.
+func (c *Core) requeue(b *Batch) {
 	pw := &c.writes
 	for _, j := range b.dirty {
 		if !j.State.Final() {
@@ -275,8 +436,11 @@
 		}
 	}
 	pw.final = append(slices.Clone(b.final), pw.final...)
-	for _, j := range b.created {
-		c.reject(now, j)
+	for _, p := range b.parts {
+		if !p.job.State.Final() {
+			p.job.waitingParts++
+			pw.parts = append(pw.parts, p)
+		}
 	}
 	pw.obsoletePages = append(pw.obsoletePages, b.dropped...)
 	for _, p := range b.recorded {
@@ -286,7 +450,8 @@
 		}
 	}
 	pw.recordDue = pw.recordDue || len(b.recorded) > 0
-	pw.ackDue = pw.ackDue || b.ackedSequences != nil
+	pw.ackDue = pw.ackDue || b.acks != nil || pw.heldAcks != nil
+	pw.heldAcks = nil
 }
 
 // BatchCommitted applies the effects of a successful commit.
@@ -295,6 +460,7 @@
 		c.storeRefuses = false
 		c.Log.Info("store accepts commits again")
 	}
+	c.writes.isolation.turnStored()
 	for _, p := range b.pages {
 		c.pageStored(p)
 	}
@@ -332,12 +498,22 @@
 		j.submitReplies = replyAccepted(j.submitReplies)
 		j.cancelReplies = replyAccepted(j.cancelReplies)
 	}
-	for id, seq := range b.ackedSequences {
-		if ex := c.executors[id]; ex != nil && ex.incarnation == b.incarnations[id] {
-			ex.ackedSequence = max(ex.ackedSequence, seq)
-			if ex.ackedSequence == ex.appliedSequence {
-				delete(c.unacked, id)
-			}
+	if b.acks != nil {
+		c.applyAcks(b.acks)
+	}
+}
+
+// applyAcks makes ended runs that are stored be acknowledged with the next polls.
+func (c *Core) applyAcks(a *acks) {
+	for id, seq := range a.sequences {
+		ex := c.executors[id]
+		if ex == nil || ex.incarnation != a.incarnations[id] {
+			continue
+		}
+		ex.ackedSequence = max(ex.ackedSequence, seq)
+		ex.unackedEnds = slices.DeleteFunc(ex.unackedEnds, func(e unackedEnd) bool { return e.sequence <= ex.ackedSequence })
+		if ex.ackedSequence == ex.appliedSequence {
+			delete(c.unacked, id)
 		}
 	}
 }
@@ -368,7 +544,7 @@
 	for id, j := range c.jobs {
 		if j.storedState.Final() && len(j.runs) == 0 && now.Sub(j.Ended) > endedJobRetention && j.pageCount <= 1 {
 			delete(c.jobs, id)
-			c.releasePage(j.progressPage)
+			c.releasePages(j.progressPages)
 		}
 	}
 }
--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -114,6 +114,9 @@
 	}
 	task.Crashes = append(task.Crashes, crash)
 	slices.SortFunc(task.Crashes, func(a, b Crash) int { return cmp.Compare(a.Run, b.Run) })
+	if n := len(task.Crashes); n > crashLimit {
+		task.Crashes = slices.Delete(task.Crashes, 0, n-crashLimit) // more make no difference
+	}
 	j.suspicious = true
 	return true
 }
--- a/internal/flow/crash_test.go
+++ b/internal/flow/crash_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
@@ -76,11 +75,7 @@
 	second.Executor = "y"
 	j.RecordCrash(task(0, 1), second)
 	j.RecordCrash(task(0, 1), first)
-	encoded, err := proto.Marshal(j.Progress())
-	assert.NilError(t, err)
-	var progress wire.ProgressRecord
-	assert.NilError(t, proto.Unmarshal(encoded, &progress))
-	restored, err := flow.Restore("a", spec.Record(), &progress, 1)
+	restored, err := flow.Restore("a", spec.Record(), storedProgress(t, j), 1)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, restored.Task(task(0, 1)).Crashes, []flow.Crash{first, second})
 	assert.DeepEqual(t, restored.UnconfirmedCrashes(), map[string][]flow.RunID{"y": {{Task: task(0, 1), Number: 1004}}})
@@ -138,7 +133,7 @@
 	old := &wire.ProgressRecord{Queue: "q", State: "pending", Steps: []*wire.StepProgress{{
 		Tasks: []*wire.TaskProgress{{FailedRuns: []int64{1}}},
 	}}}
-	j, err := flow.Restore("a", spec.Record(), old, 3)
+	j, err := flow.Restore("a", spec.Record(), []*wire.ProgressRecord{old}, 3)
 	assert.NilError(t, err)
 	assert.Equal(t, len(j.Task(task(0, 0)).FailedRuns), 1)
 	assert.Assert(t, !j.Task(task(0, 0)).Suspect())
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -84,10 +84,11 @@
 // TaskProgress is the state of one task.
 type TaskProgress struct {
 	Done bool
-	// FailedRuns are the numbers of the failed runs. They are kept to count each run once,
-	// since an executor can list an end more than once.
-	FailedRuns []int64
-	Checkpoint string
+	// FailedRuns are the numbers of the last failed runs, in ascending order. They are kept to count each run
+	// once, since an executor can list an end more than once. EarlierFailedRuns is the number of those before.
+	FailedRuns        []int64
+	EarlierFailedRuns int64
+	Checkpoint        string
 	// Crashes are the crashes of executors that ran the task, in the order of the runs.
 	Crashes []Crash
 }
@@ -337,10 +338,9 @@
 	if j.Spec.Steps[t.Step].Gang {
 		task = &j.openOccurrences[t.Occurrence].steps[t.Step].tasks[0]
 	}
-	if slices.Contains(task.FailedRuns, number) {
+	if !task.addFailedRun(number) {
 		return Effect{Restart: true}
 	}
-	task.FailedRuns = append(task.FailedRuns, number)
 	if j.exhausted(task) {
 		j.finish(now, Failed)
 		return Effect{Changed: true, Final: true}
@@ -348,9 +348,24 @@
 	return Effect{Changed: true, Restart: true}
 }
 
+// addFailedRun adds a failed run and reports whether it was not counted yet. One that is older than all that are
+// still known by number counts as known.
+func (p *TaskProgress) addFailedRun(number int64) bool {
+	i, known := slices.BinarySearch(p.FailedRuns, number)
+	if known || i == 0 && p.EarlierFailedRuns > 0 {
+		return false
+	}
+	p.FailedRuns = slices.Insert(p.FailedRuns, i, number)
+	if n := len(p.FailedRuns) - maxKnownFailedRuns; n > 0 {
+		p.FailedRuns = slices.Delete(p.FailedRuns, 0, n)
+		p.EarlierFailedRuns += int64(n)
+	}
+	return true
+}
+
 // exhausted reports whether a task has failed too often.
 func (j *Job) exhausted(t *TaskProgress) bool {
-	return j.MaxAttempts != UnknownAttempts && len(t.FailedRuns) >= max(j.MaxAttempts, 1)
+	return j.MaxAttempts != UnknownAttempts && int64(len(t.FailedRuns))+t.EarlierFailedRuns >= int64(max(j.MaxAttempts, 1))
 }
 
 // SetMaxAttempts changes MaxAttempts. It reports whether the job has failed because one of its tasks
--- a/internal/flow/job_test.go
+++ b/internal/flow/job_test.go
@@ -118,11 +118,7 @@
 			t := fleet.TaskID{Job: "a", Occurrence: s.Occurrence, Step: s.Step, Index: unfinished[0]}
 			ready = append(ready, j.ApplyEnd(start, t, int64(n+1), kind, "saved").Ready...)
 		}
-		stored := &wire.ProgressRecord{}
-		b, err := proto.Marshal(j.Progress())
-		assert.NilError(rt, err)
-		assert.NilError(rt, proto.Unmarshal(b, stored))
-		restored, err := flow.Restore("a", j.Spec.Record(), stored, 3)
+		restored, err := flow.Restore("a", j.Spec.Record(), storedProgress(rt, j), 3)
 		assert.NilError(rt, err)
 		if j.State.Final() {
 			assert.Equal(rt, restored.State, j.State)
@@ -144,3 +140,16 @@
 		}
 	})
 }
+
+// storedProgress returns the progress of a job as it is read from the store.
+func storedProgress(t assert.TestingT, j *flow.Job) []*wire.ProgressRecord {
+	var stored []*wire.ProgressRecord
+	for _, part := range j.Progress() {
+		b, err := proto.Marshal(part)
+		assert.NilError(t, err)
+		r := &wire.ProgressRecord{}
+		assert.NilError(t, proto.Unmarshal(b, r))
+		stored = append(stored, r)
+	}
+	return stored
+}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -75,11 +75,13 @@
 	return s
 }
 
-// Progress returns the part of the job's state that is stored besides its spec.
-func (j *Job) Progress() *wire.ProgressRecord {
+// Progress returns the part of the job's state that is stored besides its spec, in parts of at most
+// MaxProgressBytes. Each part holds other tasks; one is enough for most jobs.
+func (j *Job) Progress() []*wire.ProgressRecord {
 	r := &wire.ProgressRecord{Queue: j.Spec.Queue, State: j.persistedState().String(), EndedOccurrences: int64(j.endedOccurrences)}
 	if j.State.Final() {
 		r.EndedMs = j.Ended.UnixMilli()
+		return []*wire.ProgressRecord{r}
 	}
 	for k, o := range j.openOccurrences {
 		for i := range o.steps {
@@ -88,20 +90,60 @@
 			}
 		}
 	}
-	if !j.State.Final() {
-		r.Steps = append(r.Steps, j.endedMarkers()...)
-	}
+	r.Steps = append(r.Steps, j.endedMarkers()...)
 	if len(r.GetSteps()) > 0 && proto.Size(r) > MaxProgressBytes {
-		dropCheckpoints(r)
+		return split(r)
 	}
-	return r
+	return []*wire.ProgressRecord{r}
+}
+
+// split splits a record into parts of at most MaxProgressBytes.
+func split(r *wire.ProgressRecord) []*wire.ProgressRecord {
+	var parts []*wire.ProgressRecord
+	var part *wire.ProgressRecord
+	size := 0
+	// fits adds to the size of the last part; with false, it has begun a new one for what has n bytes.
+	fits := func(n int) bool {
+		n += entryOverhead
+		if part != nil && size+n <= MaxProgressBytes {
+			size += n
+			return true
+		}
+		part = &wire.ProgressRecord{
+			Queue: r.GetQueue(), State: r.GetState(), EndedOccurrences: r.GetEndedOccurrences(), EndedMs: r.GetEndedMs(),
+		}
+		parts = append(parts, part)
+		size = proto.Size(part) + n
+		return false
+	}
+	for _, s := range r.GetSteps() {
+		piece := &wire.StepProgress{Occurrence: s.GetOccurrence(), Step: s.GetStep(), Done: s.GetDone()}
+		fits(proto.Size(piece))
+		part.Steps = append(part.Steps, piece)
+		for _, t := range s.GetTasks() {
+			if !fits(proto.Size(t)) {
+				piece = &wire.StepProgress{Occurrence: s.GetOccurrence(), Step: s.GetStep()}
+				size += proto.Size(piece) + entryOverhead
+				part.Steps = append(part.Steps, piece)
+			}
+			piece.Tasks = append(piece.Tasks, t)
+		}
+	}
+	return parts
 }
 
 const (
-	// MaxProgressBytes is the size above which a progress record is stored without checkpoints. The row of
-	// a job of thousands of tasks would exceed the store's limit, and no commit with it would succeed.
+	// MaxProgressBytes is the maximum size of one part of the progress of a job, which has to fit into a row
+	// of the store together with the ID of its job.
 	MaxProgressBytes = 36 << 10
 
+	// entryOverhead is the maximum size of the tag and the length of an entry of a part.
+	entryOverhead = 4
+
+	// maxKnownFailedRuns is the number of failed runs of one task that are kept by number, so that the size of
+	// its record does not grow with the attempts that its queue allows.
+	maxKnownFailedRuns = 16
+
 	// occurrenceEndedMarker in place of a step number marks an occurrence that has ended.
 	occurrenceEndedMarker = -1
 
@@ -136,16 +178,6 @@
 	return markers
 }
 
-// dropCheckpoints removes the checkpoints from a record, and the tasks of which nothing else is recorded.
-func dropCheckpoints(r *wire.ProgressRecord) {
-	for _, s := range r.GetSteps() {
-		s.Tasks = slices.DeleteFunc(s.GetTasks(), func(t *wire.TaskProgress) bool {
-			t.Checkpoint = ""
-			return len(t.GetFailedRuns()) == 0 && len(t.GetCrashes()) == 0
-		})
-	}
-}
-
 // persistedState returns the state to store. Running is not stored, since a new owner learns from
 // the executors what runs.
 func (j *Job) persistedState() State {
@@ -166,7 +198,9 @@
 			continue
 		}
 		if len(t.FailedRuns) > 0 || t.Checkpoint != "" || len(t.Crashes) > 0 {
-			stored := &wire.TaskProgress{Index: int64(i), FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint}
+			stored := &wire.TaskProgress{
+				Index: int64(i), FailedRuns: slices.Clone(t.FailedRuns), EarlierFailedRuns: t.EarlierFailedRuns, Checkpoint: t.Checkpoint,
+			}
 			for _, crash := range t.Crashes {
 				stored.Crashes = append(stored.Crashes, crash.record())
 			}
@@ -180,19 +214,24 @@
 	return r
 }
 
-// Restore rebuilds a job from its records. spec may be nil if the job has ended.
-func Restore(id string, spec *wire.JobRecord, progress *wire.ProgressRecord, maxAttempts int) (*Job, error) {
-	j := NewJob(id, Spec{Queue: progress.GetQueue()}, maxAttempts)
+// Restore rebuilds a job from its records. spec may be nil if the job has ended, and progress empty if it has
+// made none.
+func Restore(id string, spec *wire.JobRecord, progress []*wire.ProgressRecord, maxAttempts int) (*Job, error) {
+	head := &wire.ProgressRecord{Queue: spec.GetQueue(), State: Pending.String()}
+	if len(progress) > 0 {
+		head = progress[0]
+	}
+	j := NewJob(id, Spec{Queue: head.GetQueue()}, maxAttempts)
 	if spec != nil {
 		j.Spec = SpecFromRecord(spec)
 	}
-	state, ok := ParseState(progress.GetState())
-	if progress != nil && !ok {
-		return nil, errors.Newf("flow: progress record of job %s has unknown state %q", id, progress.GetState())
+	state, ok := ParseState(head.GetState())
+	if !ok {
+		return nil, errors.Newf("flow: progress record of job %s has unknown state %q", id, head.GetState())
 	}
 	j.State = state
 	if state.Final() {
-		j.Ended = UnixMilli(progress.GetEndedMs())
+		j.Ended = UnixMilli(head.GetEndedMs())
 		return j, nil
 	}
 	if spec == nil {
@@ -201,14 +240,18 @@
 	if err := j.Spec.validateStructure(); err != nil {
 		return nil, errors.Wrapf(err, "spec of job %s", id)
 	}
-	j.executors = progress.GetExecutors()
-	for _, s := range progress.GetSteps() {
+	j.executors = head.GetExecutors()
+	var steps []*wire.StepProgress
+	for _, part := range progress {
+		steps = append(steps, part.GetSteps()...)
+	}
+	for _, s := range steps {
 		if k := s.GetOccurrence(); k < 0 || k >= int64(j.occurrenceCount()) || s.GetStep() < occurrenceEndedMarker {
 			return nil, errors.Newf("flow: progress record of job %s: occurrence %d has no step %d", id, k, s.GetStep())
 		}
 	}
-	j.restoreOccurrences(progress.GetSteps())
-	for _, s := range progress.GetSteps() {
+	j.restoreOccurrences(steps)
+	for _, s := range steps {
 		j.restoreStep(s)
 	}
 	return j, nil
@@ -258,7 +301,8 @@
 	}
 	for _, t := range r.GetTasks() {
 		if i := int(t.GetIndex()); i >= 0 && i < len(p.tasks) {
-			p.tasks[i].FailedRuns = t.GetFailedRuns()
+			p.tasks[i].FailedRuns = slices.Sorted(slices.Values(t.GetFailedRuns()))
+			p.tasks[i].EarlierFailedRuns = max(t.GetEarlierFailedRuns(), 0)
 			p.tasks[i].Checkpoint = t.GetCheckpoint()
 			for _, crash := range t.GetCrashes() {
 				p.tasks[i].Crashes = append(p.tasks[i].Crashes, crashFromRecord(crash))
--- a/internal/flow/restore_test.go
+++ b/internal/flow/restore_test.go
@@ -28,7 +28,7 @@
 			}
 			progress.Steps = append(progress.Steps, p)
 		}
-		j, err := flow.Restore("a", spec, progress, 1)
+		j, err := flow.Restore("a", spec, []*wire.ProgressRecord{progress}, 1)
 		if err != nil {
 			return
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -86,6 +86,10 @@
 // taken effect or will do so later.
 var ErrRefused = errors.New("ledger: store refuses commits")
 
+// ErrInvalid means that the store refuses the content of a commit, so that it is useless to repeat it. No part of the
+// rows has taken effect or will do so later.
+var ErrInvalid = errors.New("ledger: store refuses the content of the commit")
+
 // Page is the result of a scan.
 type Page struct {
 	Rows []table.Row
@@ -129,6 +133,9 @@
 	shortTerms       int64
 	lastStoreClock   time.Duration
 	lastStoreClockAt time.Time
+	// mayTakeEffect is set while an attempt of a commit that was given up since may still take effect, until the
+	// version of the owner's row has changed.
+	mayTakeEffect bool
 }
 
 // estimateStoreClock extrapolates the store's clock from its last response.
@@ -196,6 +203,7 @@
 	l.version = previous.Version
 	l.epoch = previous.Record.GetEpoch() + 1
 	l.commitNumber = 0
+	l.mayTakeEffect = false
 	l.setStoreClock(previous.StoreClock)
 	l.acquired, l.shortTerms = previous.StoreClock, previous.shortTerms()
 	if _, err := l.Commit(ctx, nil, nil); err != nil {
@@ -211,11 +219,22 @@
 
 // Commit writes the rows together with the owner's row. It retries a transaction that gets no
 // response until the outcome is known, and returns the time at which the last attempt was sent.
-// ErrLostOwnership is final, and after ErrRefused the rows can be committed again. Any other error
-// means that ctx has ended and the outcome is unknown.
+// ErrLostOwnership is final, and after ErrRefused the rows can be committed again. With ErrInvalid the
+// ownership is renewed without the rows. Any other error means that ctx has ended and the outcome is
+// unknown.
 func (l *Ledger) Commit(ctx context.Context, puts []table.Put, deletes []string) (time.Time, error) {
 	l.commitNumber++
-	return l.writeOwnerRow(ctx, l.Name, l.Address, puts, deletes)
+	sent, err := l.writeOwnerRow(ctx, l.Name, l.Address, puts, deletes)
+	if !errors.Is(err, ErrInvalid) || len(puts)+len(deletes) == 0 {
+		return sent, err
+	}
+	// The renewal also changes the version of the owner's row, so that no earlier attempt takes effect later.
+	l.commitNumber++
+	sent, renewErr := l.writeOwnerRow(ctx, l.Name, l.Address, nil, nil)
+	if renewErr != nil {
+		return sent, renewErr
+	}
+	return sent, err
 }
 
 // Resign writes the owner's row without a holder, which leaves the cell vacant.
@@ -241,7 +260,7 @@
 		Deletes: deletes,
 	}
 	start := l.Now()
-	allRefused := true
+	allRefused := !l.mayTakeEffect
 	for {
 		sent := l.Now()
 		res, clock := l.attempt(ctx, c)
@@ -249,11 +268,16 @@
 		case table.Unknown:
 			allRefused = false
 		case table.Refused:
+			if errors.Is(res.Err, table.ErrInvalid) && len(puts)+len(deletes) > 0 {
+				l.mayTakeEffect = !allRefused
+				return time.Time{}, errors.Wrapf(ErrInvalid, "commit %d: %v", l.commitNumber, res.Err)
+			}
 			if allRefused && l.Now().Sub(start) >= maxRefusalTime {
 				return time.Time{}, errors.Wrapf(ErrRefused, "commit %d: %v", l.commitNumber, res.Err)
 			}
 		case table.Committed:
 			l.version = res.Version
+			l.mayTakeEffect = false
 			l.setStoreClock(clock)
 			return sent, nil
 		case table.Conflict:
@@ -343,6 +367,7 @@
 		if err == nil {
 			if l.isOwnCommit(o) {
 				l.version = o.Version
+				l.mayTakeEffect = false
 				l.setStoreClock(o.StoreClock)
 				return sent, nil
 			}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -27,7 +27,9 @@
 	// delayedCommits the number of those that get no response and are added to pending.
 	lostResponses, delayedCommits int
 	// refuse makes the store refuse all transactions; the clock advances with each of them.
-	refuse  bool
+	refuse bool
+	// invalid makes the store refuse the content of transactions with a row of this key.
+	invalid string
 	pending []table.Transaction
 }
 
@@ -59,6 +61,9 @@
 		s.now = s.now.Add(100 * time.Millisecond)
 		return table.Result{Outcome: table.Refused}, 0
 	}
+	if s.delayedCommits == 0 && slices.ContainsFunc(c.Puts, func(p table.Put) bool { return p.Key == s.invalid }) {
+		return table.Result{Outcome: table.Refused, Err: table.ErrInvalid}, 0
+	}
 	if s.delayedCommits > 0 {
 		s.delayedCommits--
 		s.pending = append(s.pending, c)
@@ -204,6 +209,31 @@
 	assert.Assert(t, err != nil && !errors.Is(err, ledger.ErrRefused))
 }
 
+// Guards against an owner that loses the cell because of what one commit contains: the ownership is renewed without
+// the rows, and no attempt to write them takes effect afterwards.
+func TestInvalidCommitRenewsOwnership(t *testing.T) {
+	for _, unknownAttempts := range []int{0, 2} {
+		s := newFakeStore()
+		a := s.ledger("a", 1)
+		acquire(t, a)
+		s.invalid, s.delayedCommits = "job/1", unknownAttempts
+		before := s.time()
+		sent, err := a.Commit(t.Context(), put("job/1", "x"), nil)
+		assert.Assert(t, errors.Is(err, ledger.ErrInvalid), "%v", err)
+		assert.Assert(t, sent.After(before))
+		owner, err := a.ReadOwner(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, owner.Record.GetCommit(), int64(3))
+		for _, c := range s.pending {
+			assert.Assert(t, !s.apply(c), "an earlier attempt took effect")
+		}
+		_, err = a.Commit(t.Context(), put("job/2", "y"), nil)
+		assert.NilError(t, err)
+		_, ok := s.rows["job/1"]
+		assert.Assert(t, !ok)
+	}
+}
+
 func TestAgeUsesStoreClock(t *testing.T) {
 	s := newFakeStore()
 	a := s.ledger("a", 1)
