cell: an end opens the occurrence that an earlier owner had started

Cause: an owner uses occurrences that it has opened before that is stored. The next owner dropped an end of an occurrence that it had not opened, and acknowledged it.

Change: a run or an end that an executor lists opens its occurrence and those before it, within a limit. An end of a job that cannot be restored is not acknowledged.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -95,6 +95,9 @@
 	// scheduled holds the jobs with occurrences that are not due yet.
 	scheduled map[string]*job
 
+	// notRestored holds the jobs in the store that could not be restored.
+	notRestored map[string]bool
+
 	// blocked holds, by executor, the steps whose tasks an earlier owner may have started there.
 	// They wait until the executor is claimed.
 	blocked map[string][]*stepState
@@ -311,6 +314,7 @@
 	c.executors = make(map[string]*executor)
 	c.scheduled = make(map[string]*job)
 	c.blocked = make(map[string][]*stepState)
+	c.notRestored = make(map[string]bool)
 	c.pendingJobs = make(map[string]int64)
 	c.allowedShares = make(map[string]*allowedShare)
 	c.unacked = make(map[string]*executor)
--- a/internal/cell/isolation.go
+++ b/internal/cell/isolation.go
@@ -137,19 +137,20 @@
 		Error("store refuses the progress of a job; setting it aside")
 }
 
-// unackedEnd is an ended run that is not acknowledged to its executor.
+// unackedEnd is an ended run that is not acknowledged to its executor. The job is nil if it could not be restored: the
+// end is kept for an owner that can.
 type unackedEnd struct {
 	sequence int64
 	job      *job
 }
 
 // ackableSequence returns the sequence number up to which the ended runs of an executor may be acknowledged: those of
-// jobs that are set aside are not stored.
+// jobs that are set aside or were not restored are not stored.
 func (ex *executor) ackableSequence(s *isolation) int64 {
 	held := 0
 	acked := ex.appliedSequence
 	for _, e := range slices.Backward(ex.unackedEnds) {
-		if s.mayWrite(e.job) {
+		if e.job != nil && s.mayWrite(e.job) {
 			continue
 		}
 		if held++; held > maxHeldEnds {
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -275,7 +275,7 @@
 			})
 		})
 	}
-	o.runCommitHops(b, func() { sim.schedule(8*time.Millisecond, attempt) })
+	o.runCommitHops(b, func() { sim.schedule(8*time.Millisecond+sim.storeDelay, attempt) })
 }
 
 const (
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -243,9 +243,13 @@
 	}
 	j := c.jobs[e.Task.Job]
 	if j == nil {
+		if c.notRestored[e.Task.Job] {
+			ex.unackedEnds = append(ex.unackedEnds, unackedEnd{sequence: e.Sequence})
+		}
 		return
 	}
 	ex.unackedEnds = append(ex.unackedEnds, unackedEnd{e.Sequence, j})
+	c.openStarted(now, j, e.Task)
 	c.withdrawCrash(j, e.Task, e.Number)
 	if e.Kind == fleet.Failed {
 		if j.RecordSurvivedStart(e.Task, e.Number, true) {
@@ -259,6 +263,19 @@
 	c.applyEndToJob(now, j, e.Task, e.Number, e.Kind, e.Checkpoint, r)
 }
 
+// openStarted opens the occurrence of a task that an executor lists, if this owner has not opened it: an earlier owner
+// did so, and was lost before that was stored.
+func (c *Core) openStarted(now time.Time, j *job, t fleet.TaskID) {
+	ready, opened := j.OpenStarted(t)
+	if !opened {
+		return
+	}
+	c.Log.WithField("job", j.ID).WithField("occurrence", t.Occurrence).WithField("steps", len(ready)).
+		Info("occurrence was opened by an earlier owner")
+	c.writes.markDirty(j)
+	c.addSteps(now, j, ready)
+}
+
 // applyEndToJob updates the job of an ended run, then starts, stops or retries tasks as a result.
 func (c *Core) applyEndToJob(now time.Time, j *job, t fleet.TaskID, number int64, kind fleet.EndKind, checkpoint string, r *run) {
 	effect := j.ApplyEnd(now, t, number, kind, checkpoint)
@@ -352,6 +369,9 @@
 		return
 	}
 	j := c.jobs[listed.Task.Job]
+	if j != nil {
+		c.openStarted(now, j, listed.Task)
+	}
 	if j == nil || j.Task(listed.Task) == nil {
 		c.stopUnknownRun(ex, listed)
 		return
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -32,7 +32,7 @@
 			records, pages = append(records, e.entry.GetProgress()), append(pages, e.page)
 		}
 		if err := c.restoreJob(now, id, latestSpecs[id].entry.GetSpec(), records, executors[id]); err != nil {
-			c.Log.WithField("job", id).WithError(err).Error("skipping job that cannot be restored")
+			c.skipJob(id, err)
 			delete(latestSpecs, id)
 			continue
 		}
@@ -41,7 +41,7 @@
 	for id, e := range latestSpecs {
 		if c.jobs[id] == nil {
 			if err := c.restoreJob(now, id, e.entry.GetSpec(), nil, executors[id]); err != nil {
-				c.Log.WithField("job", id).WithError(err).Error("skipping job that cannot be restored")
+				c.skipJob(id, err)
 				continue
 			}
 		}
@@ -65,6 +65,12 @@
 	c.indexPages(slices.Concat(specs, progress, places, ends), executors)
 }
 
+// skipJob leaves a job to an owner that can restore it.
+func (c *Core) skipJob(id string, err error) {
+	c.Log.WithField("job", id).WithError(err).Error("skipping job that cannot be restored")
+	c.notRestored[id] = true
+}
+
 // currentPlaces returns the entries that are not replaced by a later one that is whole.
 func currentPlaces(entries []storedEntry) []storedEntry {
 	replaced := make(map[string]bool)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -50,6 +50,8 @@
 	storeRefuses bool
 	// listStalled keeps the owners from reading the instance list.
 	listStalled bool
+	// storeDelay is how much longer commits take than usual.
+	storeDelay time.Duration
 	// storeDown keeps the store from responding to commits.
 	storeDown bool
 	// storeDisruptedAt is when the store last began or ceased to refuse commits or to be down.
--- a/internal/cell/writes.go
+++ b/internal/cell/writes.go
@@ -402,7 +402,7 @@
 	for id, ex := range c.unacked {
 		a.sequences[id] = ex.appliedSequence
 		a.incarnations[id] = ex.incarnation
-		if len(c.writes.isolation.aside) > 0 {
+		if len(c.writes.isolation.aside)+len(c.notRestored) > 0 {
 			a.sequences[id] = ex.ackableSequence(&c.writes.isolation)
 		}
 	}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -130,13 +130,39 @@
 		if !ok || j.Spec.Occurrences > 0 && due.After(now) || j.openIsFull() {
 			return ready
 		}
-		occ := j.nextOccurrence
-		j.nextOccurrence++
-		j.openOccurrences[occ] = j.newOccurrence()
-		ready = append(ready, j.readySteps(occ)...)
+		ready = append(ready, j.openNext()...)
 	}
 }
 
+// OpenStarted opens the occurrences up to that of a task which an earlier owner has started without having stored that
+// it had opened them, and returns the steps that may start. opened is false if there is nothing to open, or if no owner
+// can have started the task.
+func (j *Job) OpenStarted(t fleet.TaskID) (ready []fleet.StepID, opened bool) {
+	if j.State.Final() || t.Occurrence < j.nextOccurrence || t.Occurrence >= j.occurrenceCount() ||
+		t.Step < 0 || t.Step >= len(j.Spec.Steps) || t.Index < 0 || t.Index >= j.Spec.Steps[t.Step].Count {
+		return nil, false
+	}
+	tasks := 0
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].Count
+	}
+	if (t.Occurrence-j.nextOccurrence)*tasks > maxUnstoredTasks {
+		return nil, false
+	}
+	for j.nextOccurrence <= t.Occurrence {
+		ready = append(ready, j.openNext()...)
+	}
+	return ready, true
+}
+
+// openNext opens the next occurrence and returns its steps that may start.
+func (j *Job) openNext() []fleet.StepID {
+	occ := j.nextOccurrence
+	j.nextOccurrence++
+	j.openOccurrences[occ] = j.newOccurrence()
+	return j.readySteps(occ)
+}
+
 // openIsFull reports whether another occurrence has to wait until one of the open ones has ended.
 func (j *Job) openIsFull() bool {
 	size := 0
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -20,6 +20,8 @@
 	// occurrences are all due at once would take tens of gigabytes of memory.
 	maxOpenOccurrences = 1000
 	maxOpenBytes       = 16 << 10
+	// maxUnstoredTasks limits the tasks that an owner can have started and ended between two commits.
+	maxUnstoredTasks = 1 << 16
 	// MaxNameBytes is the maximum size of a label, a rack or an image. A job at all limits fits into a
 	// row of the store, 64 KiB.
 	MaxNameBytes = 200
