flow: crashes that can have other causes fail fewer jobs

Reproduced: fault soak with executors that crash in waves and are up again within 0.3 s, most of them as another instance at the address, beside kills of the owner.

Change: three crashes right after the start need one without another cause, otherwise four (two certain) or five; two are not enough for a task of which a run has ended by itself. The bound of two starts after the third crash is checked by the same tests as before.

--- a/internal/flow/crash.go
+++ b/internal/flow/crash.go
@@ -12,11 +12,13 @@
 const (
 	// startCrashLimit is the number of executors that may crash right after starts of one task, with no
 	// run between them that outlived its start, before the task is given up; two of the crashes have to be
-	// certain. Two are enough if the last one can have no other cause.
+	// certain, and one of these can have no other cause. Two are enough if that is the last one.
 	startCrashLimit = 3
 
-	// presumedCrashLimit is the same if the crashes are not certain.
-	presumedCrashLimit = 4
+	// sharedCrashLimit is the same if each of the crashes can have another cause, presumedCrashLimit if they are
+	// not certain either.
+	sharedCrashLimit   = 4
+	presumedCrashLimit = 5
 
 	// laterCrashLimit is the number of crashes from which a task is given up that crashes its executors
 	// later than at the start, if at least two of them can have no other cause.
@@ -69,10 +71,13 @@
 	if n < 2 || n >= crashLimit {
 		return n >= crashLimit
 	}
-	atStart, confirmedAtStart, certain := 0, 0, 0
+	atStart, confirmedAtStart, certain, certainAtStart := 0, 0, 0, 0
 	for _, c := range p.Crashes {
 		if c.Alone && c.Confirmed {
 			certain++
+			if c.AtStart {
+				certainAtStart++
+			}
 		}
 		if c.AtStart {
 			atStart++
@@ -82,10 +87,12 @@
 		}
 	}
 	last := p.Crashes[n-1]
-	// Two crashes of one executor can be its own fault.
-	certainLast := last.AtStart && last.Alone && last.Confirmed && p.Crashes[n-2].Executor != last.Executor
+	// Two crashes of one executor can be its own fault, and a task of which a run has ended by itself is likely to
+	// have met them by chance.
+	endedByItself := len(p.FailedRuns) > 0
+	certainLast := last.AtStart && last.Alone && last.Confirmed && p.Crashes[n-2].Executor != last.Executor && !endedByItself
 	return atStart >= presumedCrashLimit ||
-		confirmedAtStart >= 2 && (atStart >= startCrashLimit || certainLast) ||
+		confirmedAtStart >= 2 && (atStart >= sharedCrashLimit || atStart >= startCrashLimit && certainAtStart > 0 || certainLast) ||
 		n >= laterCrashLimit && certain >= 2
 }
 
