cell: parts and places in files of their own; former owners keep within a row

A record for owners of former versions, which holds the executors of a job with its progress, could exceed a row; it now leaves them out from MaxProgressBytes on.

--- a/internal/cell/isolation_test.go
+++ b/internal/cell/isolation_test.go
@@ -98,17 +98,11 @@
 	for _, x := range sim.sortedExecutors() {
 		x.failAll = false
 	}
-	failed := func(o *owner) []int64 {
-		var out []int64
-		for _, row := range sim.scan(ledger.ProgressPrefix) {
-			out = append(out, int64(len(row.Value)))
-		}
-		return out
-	}
 	// A takeover for which the last part of newer progress is missing goes on from the former progress, and from the
 	// ended runs that were not acknowledged.
 	o.dead = true
 	rows := sim.scan(ledger.ProgressPrefix)
+	assert.Assert(t, len(rows) > 1)
 	last := rows[len(rows)-1]
 	var r wire.PageRecord
 	assert.NilError(t, proto.Unmarshal(last.Value, &r))
@@ -119,7 +113,6 @@
 	assert.NilError(t, err)
 	sim.rows[ledger.ProgressPrefix+"0000000001.9999999999"] = value
 	o = sim.takeOver()
-	assert.Assert(t, len(failed(o)) > 1)
 	sim.advance(90 * time.Second)
 	sim.expectNoViolations()
 	assert.Equal(t, o.core.State("large").State, flow.Completed)
--- a/internal/cell/writes.go
+++ b/internal/cell/writes.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/daisyrack/daisyrack/internal/flow"
 	"github.com/daisyrack/daisyrack/internal/ledger"
 	"github.com/daisyrack/daisyrack/pkg/table"
@@ -55,12 +57,6 @@
 	isolation isolation
 }
 
-// progressPart is one part of the progress of a job.
-type progressPart struct {
-	job    *job
-	record *wire.ProgressRecord
-}
-
 // acks are acknowledgements of ended runs.
 type acks struct {
 	// sequences holds, by executor, the sequence number up to which ended runs are acknowledged. It is valid
@@ -211,74 +207,6 @@
 	return nil
 }
 
-// maxPlacesPages is the number of rows with places of one job from which they are written anew, so that a
-// long-running job does not keep rows of many commits.
-const maxPlacesPages = 16
-
-// maxPlacesBytes is the size from which the places of a job are split into several entries, and up to which they
-// are written anew.
-const maxPlacesBytes = 32 << 10
-
-// addPlaces adds the executors on which tasks of jobs may be started from now on. They stand apart from the
-// progress, which is written again with each change.
-func (c *Core) addPlaces(b *Batch, pages *pageWriter) error {
-	pw := &c.writes
-	pw.recordDue = false
-	for _, id := range slices.Sorted(maps.Keys(pw.newPlaces)) {
-		j := pw.newPlaces[id]
-		if j.State.Final() {
-			delete(pw.newPlaces, id)
-			continue
-		}
-		if !j.inCommit || !pw.isolation.allows(j) {
-			continue
-		}
-		ids, whole := j.Executors()[j.placesWritten:], j.placesWritten == 0
-		if len(j.placesPages) >= maxPlacesPages && namesSize(j.Executors()) <= maxPlacesBytes {
-			ids, whole = j.Executors(), true // in one entry: the earlier ones are dropped with it
-		}
-		for len(ids) > 0 && b.bytes < ledger.MaxCommitBytes {
-			n := namesThatFit(ids, maxPlacesBytes)
-			if err := pages.add(j, &wire.PageEntry{Job: j.ID, Places: &wire.PlacesRecord{Executors: ids[:n], Whole: whole}}); err != nil {
-				return err
-			}
-			ids, whole = ids[n:], false
-		}
-		written := len(j.Executors()) - len(ids)
-		b.recorded = append(b.recorded, recordedExecutors{job: j, ids: slices.Clone(j.Executors()[j.placesWritten:written])})
-		j.placesWritten = written
-		if len(ids) > 0 {
-			pw.recordDue = true
-			return nil
-		}
-		delete(pw.newPlaces, id)
-	}
-	return nil
-}
-
-// namesSize returns the size of names in a record.
-func namesSize(names []string) int {
-	size := 0
-	for _, name := range names {
-		size += nameOverhead + len(name)
-	}
-	return size
-}
-
-// namesThatFit returns how many of the first names have at most the given size; at least one.
-func namesThatFit(names []string, limit int) int {
-	size := 0
-	for i, name := range names {
-		if size += nameOverhead + len(name); size > limit {
-			return max(i, 1)
-		}
-	}
-	return len(names)
-}
-
-// nameOverhead is the size of the tag and the length of a name in a record.
-const nameOverhead = 3
-
 // addProgress adds the progress of other jobs. The spec of a job is stored before its progress. Progress that is split
 // into parts is added by addParts, and not written again before these are stored.
 func (c *Core) addProgress(b *Batch, pages *pageWriter) error {
@@ -293,7 +221,7 @@
 			return nil
 		}
 		parts := j.Progress()
-		if c.formerFollowers && !j.State.Final() && namesSize(j.Executors()) <= maxPlacesBytes {
+		if c.formerFollowers && !j.State.Final() && proto.Size(parts[0])+namesSize(j.Executors()) <= flow.MaxProgressBytes {
 			parts[0].Executors = j.Executors()
 		}
 		delete(pw.dirty, id)
@@ -309,50 +237,6 @@
 	return nil
 }
 
-// addParts adds the parts of a progress record to those that are in no commit yet.
-func (pw *pendingWrites) addParts(epoch int64, j *job, parts []*wire.ProgressRecord) {
-	pw.splitSerial++
-	for _, part := range parts {
-		part.Parts, part.SplitNumber = int64(len(parts)), epoch<<splitSerialBits|pw.splitSerial
-		pw.parts = append(pw.parts, progressPart{j, part})
-	}
-	j.waitingParts = len(parts)
-}
-
-// splitSerialBits is the number of bits of a split number below the epoch.
-const splitSerialBits = 32
-
-// dropParts removes the parts of a job that are in no commit yet.
-func (pw *pendingWrites) dropParts(j *job) {
-	if j.waitingParts > 0 {
-		j.waitingParts = 0
-		pw.parts = slices.DeleteFunc(pw.parts, func(p progressPart) bool { return p.job == j })
-	}
-}
-
-// addParts adds the parts of progress that fit into the batch.
-func (c *Core) addParts(b *Batch, pages *pageWriter) error {
-	pw := &c.writes
-	var later []progressPart
-	for i, p := range pw.parts {
-		if b.bytes >= ledger.MaxCommitBytes {
-			later = append(later, pw.parts[i:]...)
-			break
-		}
-		if !pw.isolation.allows(p.job) {
-			later = append(later, p)
-			continue
-		}
-		if err := pages.add(p.job, &wire.PageEntry{Job: p.job.ID, Progress: p.record}); err != nil {
-			return err
-		}
-		b.parts = append(b.parts, p)
-		p.job.waitingParts--
-	}
-	pw.parts = later
-	return nil
-}
-
 // addDeletes adds deletions of obsolete rows, up to the row limit of a commit.
 func (c *Core) addDeletes(b *Batch) {
 	pw := &c.writes
@@ -511,7 +395,11 @@
 			continue
 		}
 		ex.ackedSequence = max(ex.ackedSequence, seq)
-		ex.unackedEnds = slices.DeleteFunc(ex.unackedEnds, func(e unackedEnd) bool { return e.sequence <= ex.ackedSequence })
+		n := 0
+		for n < len(ex.unackedEnds) && ex.unackedEnds[n].sequence <= ex.ackedSequence {
+			n++
+		}
+		ex.unackedEnds = append(ex.unackedEnds[:0], ex.unackedEnds[n:]...)
 		if ex.ackedSequence == ex.appliedSequence {
 			delete(c.unacked, id)
 		}
