--- a/review/rig2/ticket.go
+++ b/review/rig2/ticket.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -93,6 +94,14 @@
 	}
 	return verdict{broken: true, text: fmt.Sprintf(
 		"LOST: %s after the end of the traffic the accepted job %s (%s, then %s) has had nothing running for %s and no run of %s was ever started; "+
-			"%v are idle with %d thousandths of a core each, at most %d runs on any executor", finishTime, job, text, last, idleTime, tasks, allowed, executorCPU, busy,
+			"%s may run it and have %d thousandths of a core each, with at most %d runs on any executor", finishTime, job, text, last, idleTime, tasks, names(allowed), executorCPU, busy,
 	)}, nil
 }
+
+// names lists executors; none means all.
+func names(executors []string) string {
+	if len(executors) == 0 {
+		return "all executors"
+	}
+	return strings.Join(executors, ", ")
+}
