--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -17,6 +17,9 @@
 	executorCPU = 16000
 
 	holdWait = 600 * time.Millisecond
+
+	// drainLeft is the minimum time that a draining executor says is left.
+	drainLeft = 2 * time.Second
 )
 
 // executor is a stand-in of an executor. It runs tasks under leases for the time that the text of their job gives for
@@ -49,6 +52,7 @@
 	down   bool
 	// isolated is set while it does not reach the store.
 	isolated bool
+	draining bool
 	fence    int64
 	leaseEnd int64
 	running  map[string]*run
@@ -127,9 +131,13 @@
 	if x.down || x.isolated {
 		return
 	}
+	state := `"ready"`
+	if x.draining {
+		state = fmt.Sprintf(`"draining","remaining_ms":%d`, drainLeft.Milliseconds())
+	}
 	x.store.put("servers", x.id, []byte(fmt.Sprintf(
-		`{"service":"pool","address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":32768,"gpu":0},"labels":[%q,%q],"seq":%d,"born":%d}`,
-		x.address, x.zone, executorCPU, x.kind, x.rack, seq, x.born.UnixMilli())))
+		`{"service":"pool","address":%q,"zone":%q,"version":"v1","slots":8,"state":%s,"cold_left_ms":0,"capacity":{"cpu":%d,"mem_mb":32768,"gpu":0},"labels":[%q,%q],"seq":%d,"born":%d}`,
+		x.address, x.zone, state, executorCPU, x.kind, x.rack, seq, x.born.UnixMilli())))
 }
 
 // work ends runs that are done or whose lease has expired.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,6 +23,7 @@
 // cases are the scripted cases; trouble is false if they are played without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"lease":   playLease,
+	"drain":   playDrain,
 	"deadly":  playDeadly,
 	"kind":    playKind,
 	"waiting": playWaiting,
