--- a/review/rig3/pools.go
+++ b/review/rig3/pools.go
@@ -20,14 +20,14 @@
 	burstFactor = 2.5
 	burstTime   = 6300 * time.Millisecond
 	burstGap    = 700 * time.Millisecond
-	bursts      = 5
+	bursts      = 6
 	warmUp      = 3 * time.Second
 
 	reportInterval = 2 * time.Second
-	finishTime     = 14 * time.Second
-	calmBefore     = 4 * time.Second
-	maxWait        = 3 * time.Second
-	observeTime    = 30 * time.Second
+	// finishTime is finish_s of the site: the wait of a report counts from then on, after the end of the traffic.
+	finishTime  = 14 * time.Second
+	maxWait     = 3 * time.Second
+	observeTime = 26 * time.Second
 )
 
 // report is a job of the small pool, as its client and the executors have seen it.
@@ -92,8 +92,8 @@
 			mu.Lock()
 			reports[r.id] = r
 			mu.Unlock()
-			step := map[string]any{"count": 2, "cpu": 2700, "mem_mb": 3000, "estimate_ms": 1000}
-			if f.submit(host, "/reports/"+r.id, map[string]any{"spec": "1000 2700", "steps": []any{step}}) {
+			step := map[string]any{"count": 2, "cpu": 8000, "mem_mb": 8000, "estimate_ms": 1000}
+			if f.submit(host, "/reports/"+r.id, map[string]any{"spec": "1000 8000", "steps": []any{step}}) {
 				mu.Lock()
 				r.accepted = time.Now()
 				mu.Unlock()
@@ -117,7 +117,7 @@
 		} else if free.IsZero() {
 			free = time.Now()
 		}
-		calm := end.Add(calmBefore)
+		calm := end.Add(finishTime)
 		if !free.IsZero() && free.After(calm) {
 			calm = free
 		}
