--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review2-rig ./review/rig2
+go build -o target/review-rig3 ./review/rig3
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -46,6 +48,13 @@
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
 	}
 	defer f.stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		f.stop()
+		os.Exit(exitFailed)
+	}()
 	broken, err := play(f, trouble)
 	switch {
 	case err != nil:
