--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -166,11 +166,12 @@
 // submit hands a job in, at up to five instances in turn, and reports whether it was accepted.
 func (f *fleet) submit(host, path string, body any) bool {
 	for attempt := range 5 {
-		status, _ := f.call(rand.IntN(instanceCount), http.MethodPost, host, path, body)
+		front := rand.IntN(instanceCount)
+		status, text := f.call(front, http.MethodPost, host, path, body)
+		f.record.printf("POST %s at instance %d, attempt %d: %d %s", path, front, attempt+1, status, strings.TrimSpace(text))
 		if status == http.StatusOK {
 			return true
 		}
-		f.record.printf("POST %s: status %d at attempt %d", path, status, attempt+1)
 		time.Sleep(500 * time.Millisecond)
 	}
 	return false
--- a/review/rig3/pools.go
+++ b/review/rig3/pools.go
@@ -43,8 +43,12 @@
 	}
 	var mu sync.Mutex
 	reports := make(map[string]*report)
+	counts := make(map[string]int) // of the runs in the large pool
 	observe := func(e *executor, task string, run int64, how string) {
 		if e.service != smallPool {
+			mu.Lock()
+			counts[how]++
+			mu.Unlock()
 			return
 		}
 		f.record.printf("%s: %s run %d %s", e.id, task, run, how)
@@ -97,12 +101,11 @@
 				mu.Lock()
 				r.accepted = time.Now()
 				mu.Unlock()
-				f.record.printf("report %s accepted", r.id)
 			}
 		})
 	}
 	wg.Wait()
-	end := began.Add(trafficTime)
+	end := latest(time.Now(), began.Add(trafficTime))
 	f.record.printf("end of the traffic; the last burst is over")
 	broken := false
 	free := time.Time{} // since when less than half of the small pool is in use
@@ -131,8 +134,10 @@
 		}
 		mu.Unlock()
 		if time.Since(end)%time.Second < 100*time.Millisecond {
-			f.record.printf("%.1f s after the traffic: %s uses %d of %d millicores, %s %d of %d; reports that wait with room for over 3 s: %d %s",
-				time.Since(end).Seconds(), largePool, used[largePool], largeSize*16000, smallPool, used[smallPool], smallSize*16000, waiting, first)
+			mu.Lock()
+			f.record.printf("%.1f s after the traffic: %s uses %d of %d millicores (runs %v), %s %d of %d; reports that wait for over 3 s: %d %s",
+				time.Since(end).Seconds(), largePool, used[largePool], largeSize*16000, counts, smallPool, used[smallPool], smallSize*16000, waiting, first)
+			mu.Unlock()
 		}
 		if waiting > 0 && !broken {
 			f.record.printf("LOST: for 3 s report %s has nothing running, %.1f s after the end of the traffic", first, time.Since(end).Seconds())
