Log which incarnation of an executor a lease was meant for

A lease end is a time on the clock of one incarnation. The logs could not tell whether a start or a poll brings it to the next one: a start now carries the incarnation that it was decided for, also through relays, and both are logged when another incarnation responds.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -75,7 +75,7 @@
 	}
 	r.start = &fleet.Start{
 		Task: t, Number: number, Text: st.job.Spec.Text, Checkpoint: state.Checkpoint,
-		Ticket: st.tickets[ex.ID].value, LeaseEnd: until, Epoch: c.Epoch,
+		Ticket: st.tickets[ex.ID].value, LeaseEnd: until, Incarnation: ex.incarnation, Epoch: c.Epoch,
 	}
 	c.attach(r)
 	if state.Suspect() {
@@ -286,6 +286,12 @@
 	r := cmd.run
 	switch resp.Status.ProofOfStart() {
 	case fleet.HasRun:
+		if cmd.Start.Incarnation != r.ex.incarnation {
+			c.Log.WithField("executor", r.ex.ID).WithField("life", r.ex.incarnation).WithField("meant_for", cmd.Start.Incarnation).
+				WithField("run", r.key).WithField("attempt", cmd.Attempt).WithField("verdict", resp.Status.String()).
+				WithField("lease_left_ms", (cmd.Start.LeaseEnd - resp.Clock).Milliseconds()).
+				Warn("start was executed after the executor had restarted")
+		}
 		if resp.Status == fleet.AlreadyEnded && cmd.Attempt == 0 && !r.stopping {
 			// An earlier owner has used more numbers than its range holds. The next range overlaps with the
 			// next owner's, which moves on in the same way.
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -59,7 +59,7 @@
 		listed[runKey(resp.Runs[i].Task, resp.Runs[i].Number)] = true
 	}
 	if resp.Incarnation != 0 && ex.incarnation != 0 && resp.Incarnation != ex.incarnation {
-		c.handleRestart(now, sent, ex, resp.Incarnation, listed)
+		c.handleRestart(now, sent, ex, resp, listed)
 	}
 	c.recordResponse(now, ex, resp)
 	for i := range resp.Ends {
@@ -158,15 +158,16 @@
 // handleRestart marks the runs of the former incarnation of an executor as lost. Runs that are
 // listed, and runs whose start was confirmed after the poll was sent, may belong to the new
 // incarnation.
-func (c *Core) handleRestart(now, sent time.Time, ex *executor, newIncarnation int64, listed map[string]bool) {
-	c.Log.WithField("executor", ex.ID).WithField("life", newIncarnation).WithField("former", ex.incarnation).
-		WithField("runs", len(ex.runs)).Warn("executor restarted")
+func (c *Core) handleRestart(now, sent time.Time, ex *executor, resp fleet.Response, listed map[string]bool) {
+	c.Log.WithField("executor", ex.ID).WithField("life", resp.Incarnation).WithField("former", ex.incarnation).
+		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil - resp.Clock).Milliseconds()).
+		WithField("cause", resp.Cause).Warn("executor restarted")
 	runs := ex.sortedRuns()
 	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
 		return listed[r.key] || !r.confirmedAt.IsZero() && !r.confirmedAt.Before(sent) || r.confirmedAt.IsZero() && !r.mayStartLate
 	})
 	c.recordCrash(now, ex, lost, "executor restarted")
-	ex.incarnation, ex.incarnationSince = newIncarnation, now
+	ex.incarnation, ex.incarnationSince = resp.Incarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
 	ex.appliedSequence, ex.ackedSequence, ex.unackedEnds = 0, 0, nil
 	delete(c.unacked, ex.ID)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -115,9 +115,11 @@
 	Text       string
 	Checkpoint string
 	Ticket     string
-	// LeaseEnd is when the executor's lease expires, by the executor's clock.
-	LeaseEnd time.Duration
-	Epoch    int64
+	// LeaseEnd is when the executor's lease expires, by the clock of the incarnation that the command is meant
+	// for; Incarnation is 0 if it is unknown.
+	LeaseEnd    time.Duration
+	Incarnation int64
+	Epoch       int64
 }
 
 // Stop is the command to end a run.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -24,6 +24,7 @@
 func encodeStart(s *fleet.Start) *wire.RelayStart {
 	return &wire.RelayStart{
 		Run: encodeRun(s.Task, s.Number), Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseEndMs: s.LeaseEnd.Milliseconds(),
+		Incarnation: s.Incarnation,
 	}
 }
 
@@ -31,7 +32,7 @@
 	t, number := decodeRun(s.GetRun())
 	return fleet.Start{
 		Task: t, Number: number, Text: text, Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket(),
-		LeaseEnd: millis(s.GetLeaseEndMs()), Epoch: epoch,
+		LeaseEnd: millis(s.GetLeaseEndMs()), Incarnation: s.GetIncarnation(), Epoch: epoch,
 	}
 }
 
