Bind starts, leases and acknowledgments to the incarnation of an executor

What callers saw: a task ran on two executors at the same time, after executors had started again under their ID and were cut off (TWICE).

Cause: a lease end is a time on the clock of one incarnation. A start that waited, was in flight or was repeated, and a poll that was decided before the restart was noticed, reached the next incarnation at the address, whose clock had begun anew. It took the lease end for one far ahead, ran for its maximum of 10 s, and the owner counted 6.5 s.

Change: a connection belongs to one process. A call with a lease end or an acknowledgment, and each start, goes out only on a connection on which the incarnation that it is meant for has responded; a new connection is polled without a lease first. A start that was decided before a restart is neither sent nor repeated after it.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -173,6 +173,11 @@
 	if r.ex.runs[r.key] != r {
 		return true // the run was lost in the meantime
 	}
+	if !r.stopping && r.isForFormerIncarnation() {
+		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
+			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has restarted")
+		r.stopping = true
+	}
 	if !r.stopping && c.overcommitted(r.ex) {
 		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has shrunk")
@@ -194,6 +199,12 @@
 	return true
 }
 
+// isForFormerIncarnation reports whether the executor has restarted since the start was decided. The lease end, the
+// ticket and the room of the start are those of the former incarnation.
+func (r *run) isForFormerIncarnation() bool {
+	return r.start != nil && r.start.Incarnation != r.ex.incarnation
+}
+
 // mayHaveRun reports whether an attempt to start the run was executed or may still be. The response to one that is
 // in flight decides about that one.
 func (r *run) mayHaveRun() bool {
@@ -286,12 +297,6 @@
 	r := cmd.run
 	switch resp.Status.ProofOfStart() {
 	case fleet.HasRun:
-		if cmd.Start.Incarnation != r.ex.incarnation {
-			c.Log.WithField("executor", r.ex.ID).WithField("life", r.ex.incarnation).WithField("meant_for", cmd.Start.Incarnation).
-				WithField("run", r.key).WithField("attempt", cmd.Attempt).WithField("verdict", resp.Status.String()).
-				WithField("lease_left_ms", (cmd.Start.LeaseEnd - resp.Clock).Milliseconds()).
-				Warn("start was executed after the executor had restarted")
-		}
 		if resp.Status == fleet.AlreadyEnded && cmd.Attempt == 0 && !r.stopping {
 			// An earlier owner has used more numbers than its range holds. The next range overlaps with the
 			// next owner's, which moves on in the same way.
@@ -315,9 +320,9 @@
 		return
 	case fleet.HasNotRun:
 	}
-	if resp.Status == fleet.NotSent {
+	if resp.Status == fleet.NotSent || resp.Status == fleet.Restarted {
 		c.awaitResponse(r.ex)
-		if r.mayHaveRun() {
+		if resp.Status == fleet.NotSent && r.mayHaveRun() {
 			c.retryStart(now, cmd)
 			return
 		}
@@ -354,6 +359,10 @@
 	if r.stopping {
 		return
 	}
+	if r.isForFormerIncarnation() {
+		c.stopRun(now, r, "executor restarted")
+		return
+	}
 	c.Stats.Resent++
 	r.commandPending = true
 	retry := Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1}
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -307,10 +307,10 @@
 	poll := fleet.Poll{Epoch: c.Epoch}
 	if ex.missedPolls == 0 && !ex.undelivered {
 		// Since its last response the executor may have restarted, which resets its sequence numbers.
-		poll.AckedSequence = ex.ackedSequence
-		poll.KnownSequence, poll.Incarnation = ex.appliedSequence, ex.incarnation
+		poll.AckedSequence, poll.KnownSequence = ex.ackedSequence, ex.appliedSequence
 	}
 	if ex.claimed && ex.missedPolls == 0 {
+		poll.Incarnation = ex.incarnation
 		switch {
 		case len(ex.runs) == 0:
 			poll.Wait = idlePollWait
--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -14,9 +14,21 @@
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
-// clock returns the reading of the executor's own clock.
+// clock returns the reading of the executor's own clock, which begins anew with each incarnation.
 func (x *fakeExecutor) clock(sim *simulation) time.Duration {
-	return time.Duration(float64(sim.now.Sub(x.startTime)) * x.clockRate)
+	return x.clockStart + time.Duration(float64(sim.now.Sub(x.startTime))*x.clockRate)
+}
+
+// extendLease takes the end of a lease, on the clock of the executor, which shortens a longer one to its maximum.
+func (x *fakeExecutor) extendLease(sim *simulation, until time.Duration) {
+	x.leaseUntil = max(x.leaseUntil, min(until, x.clock(sim)+maxLease))
+}
+
+// randomClock returns a reading from 0 to an hour, the same whenever seed, executor and incarnation are the same.
+func (x *fakeExecutor) randomClock(sim *simulation) time.Duration {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, x.ID, x.incarnation)
+	return time.Duration(rand.New(rand.NewPCG(sim.seed, h.Sum64())).Int64N(int64(time.Hour)))
 }
 
 func (x *fakeExecutor) execute(sim *simulation, cmd cell.Command) fleet.Response {
@@ -45,7 +57,7 @@
 	if s.LeaseEnd <= x.clock(sim) {
 		return fleet.ArrivedLate
 	}
-	x.leaseUntil = max(x.leaseUntil, s.LeaseEnd)
+	x.extendLease(sim, s.LeaseEnd)
 	sim.checkStart(x, s)
 	spec := sim.specOf(s.Task)
 	runTime := sim.runTime(s.Task)
--- a/internal/cell/faults_test.go
+++ b/internal/cell/faults_test.go
@@ -109,6 +109,9 @@
 	}
 	spec := singleStep(queue, 1+sim.rng.IntN(8), time.Duration(100+sim.rng.IntN(1500))*time.Millisecond)
 	spec.Steps[0].Need.CPUMillis = int64(500 + sim.rng.IntN(3000))
+	if sim.rng.IntN(5) == 0 {
+		spec.Steps[0].Estimate = time.Duration(5000+sim.rng.IntN(8000)) * time.Millisecond
+	}
 	if sim.rng.IntN(4) == 0 {
 		spec.Steps[0].MaxPerExecutor = 2
 	}
@@ -126,7 +129,7 @@
 func (sim *simulation) injectFault(o *owner) *owner {
 	all := slices.DeleteFunc(sim.sortedExecutors(), func(x *fakeExecutor) bool { return x.replaced })
 	x := all[sim.rng.IntN(len(all))]
-	switch sim.rng.IntN(10) {
+	switch sim.rng.IntN(12) {
 	case 0: // the owner is killed
 		o.dead = true
 		return sim.takeOver()
@@ -191,6 +194,27 @@
 		sim.schedule(time.Duration(300+sim.rng.IntN(4000))*time.Millisecond, func() {
 			sim.storeRefuses, sim.storeDisruptedAt = false, sim.now
 		})
+	case 9, 10: // an executor restarts and is partitioned soon after; the owner may be killed in between
+		if x.down || x.partitioned {
+			return o
+		}
+		x.down = true
+		x.loseRuns(sim)
+		back := time.Duration(200+sim.rng.IntN(1200)) * time.Millisecond
+		cut := back + time.Duration(sim.rng.IntN(2500))*time.Millisecond
+		sim.schedule(back, func() {
+			if !x.replaced {
+				x.restart(sim)
+				sim.relist(x)
+			}
+		})
+		sim.schedule(cut, func() { x.partitioned = true })
+		sim.schedule(cut+time.Duration(3000+sim.rng.IntN(10000))*time.Millisecond, func() { x.partitioned = false })
+		if sim.rng.IntN(2) == 0 {
+			sim.advance(back + time.Duration(sim.rng.Int64N(int64(cut-back)+1)))
+			o.dead = true
+			return sim.takeOver()
+		}
 	case 6: // an executor temporarily loses its entry
 		x.unlisted = true
 		sim.owners[len(sim.owners)-1].core.RemoveExecutor(sim.now, x.ID)
--- a/internal/cell/lookup_test.go
+++ b/internal/cell/lookup_test.go
@@ -65,9 +65,13 @@
 			p.respond(sent, poll)
 			return
 		}
-		x.acknowledge(poll.AckedSequence, poll.Epoch)
 		x.maxEpoch = poll.Epoch
-		x.leaseUntil = max(x.leaseUntil, poll.LeaseEnd)
+		if bound := poll.LeaseEnd > 0 || poll.AckedSequence > 0; bound && poll.Incarnation != 0 && poll.Incarnation != x.incarnation {
+			p.respond(sent, poll) // the lease and the acknowledgment are not sent to another incarnation
+			return
+		}
+		x.acknowledge(poll.AckedSequence, poll.Epoch)
+		x.extendLease(sim, poll.LeaseEnd)
 		responded := false
 		respond := func() {
 			if !responded {
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -361,6 +361,15 @@
 			}
 			return
 		}
+		if cmd.Start != nil && cmd.Start.Incarnation != 0 && cmd.Start.Incarnation != x.incarnation {
+			// An open connection breaks, a new one is to another incarnation.
+			status := fleet.Restarted
+			if sim.now.UnixMilli()%2 == 0 {
+				status = fleet.NoResponse
+			}
+			sim.schedule(messageDelay, func() { reply(fleet.Response{Status: status}) })
+			return
+		}
 		if x.rejectsRetries && cmd.Start != nil && cmd.Attempt > 0 {
 			reply(fleet.Response{Status: fleet.Unavailable})
 			return
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -160,7 +160,7 @@
 // incarnation.
 func (c *Core) handleRestart(now, sent time.Time, ex *executor, resp fleet.Response, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", resp.Incarnation).WithField("former", ex.incarnation).
-		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil - resp.Clock).Milliseconds()).
+		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil-resp.Clock).Milliseconds()).
 		WithField("cause", resp.Cause).Warn("executor restarted")
 	runs := ex.sortedRuns()
 	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
@@ -357,6 +357,10 @@
 // stops one that is not wanted.
 func (c *Core) applyListedRun(now time.Time, ex *executor, listed *fleet.Run) {
 	if r := ex.runs[runKey(listed.Task, listed.Number)]; r != nil {
+		if r.confirmedAt.IsZero() && r.isForFormerIncarnation() {
+			c.Log.WithField("executor", ex.ID).WithField("life", ex.incarnation).WithField("meant_for", r.start.Incarnation).
+				WithField("run", r.key).Warn("executor runs a task whose start was meant for its former incarnation")
+		}
 		r.confirm(now, ex.clock, true)
 		r.unconfirmed = false
 		c.withdrawCrash(r.job, r.task, r.number)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -156,6 +156,7 @@
 	// rooms holds the capacities that the executor has had, the last one being in force.
 	rooms        []room
 	startTime    time.Time
+	clockStart   time.Duration
 	incarnation  int64
 	maxEpoch     int64
 	leaseUntil   time.Duration
@@ -224,6 +225,8 @@
 	messageDelay = time.Millisecond
 	lease        = 6500 * time.Millisecond
 	maxStopTime  = 500 * time.Millisecond
+	// maxLease is the longest lease that an executor grants.
+	maxLease = 10 * time.Second
 )
 
 func newSimulation(t testing.TB, seed uint64, count int) *simulation {
@@ -274,7 +277,8 @@
 func (x *fakeExecutor) restart(sim *simulation) {
 	x.loseRuns(sim)
 	x.startTime, x.incarnation = sim.now, sim.now.UnixMilli()
-	x.maxEpoch, x.leaseUntil, x.lastSequence = 0, 0, 0
+	x.clockStart = x.randomClock(sim)
+	x.maxEpoch, x.leaseUntil, x.lastSequence = 0, x.clockStart, 0
 	x.ends = nil
 	x.lastEndedRun = make(map[fleet.TaskID]int64)
 	x.down, x.refuses = false, false
--- a/internal/fleet/proof.go
+++ b/internal/fleet/proof.go
@@ -28,6 +28,7 @@
 	Malformed:            HasNotRun,
 	Undelivered:          MayRun,
 	NotSent:              HasNotRun,
+	Restarted:            HasNotRun,
 }
 
 // ProofOfStart returns what a response with this status proves about the start that it answers; a status that is
--- a/internal/fleet/proof_test.go
+++ b/internal/fleet/proof_test.go
@@ -15,7 +15,7 @@
 		fleet.NoResponse: fleet.MayRun, fleet.Undelivered: fleet.MayRun,
 		fleet.Fenced: fleet.HasNotRun, fleet.ArrivedLate: fleet.HasNotRun, fleet.InsufficientCapacity: fleet.HasNotRun,
 		fleet.InvalidTicket: fleet.HasNotRun, fleet.Unavailable: fleet.HasNotRun, fleet.WrongExecutor: fleet.HasNotRun,
-		fleet.Malformed: fleet.HasNotRun, fleet.NotSent: fleet.HasNotRun,
+		fleet.Malformed: fleet.HasNotRun, fleet.NotSent: fleet.HasNotRun, fleet.Restarted: fleet.HasNotRun,
 	}
 	known := 0
 	for s := fleet.Executed; s.String() != "unknown"; s++ {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -96,9 +96,11 @@
 	// NotSent means that no connection to the executor could be opened: no process listens at its address, or
 	// the address cannot be reached.
 	NotSent
+	// Restarted means that another incarnation of the executor responds: the command was not sent to it.
+	Restarted
 )
 
-var statusNames = [...]string{"obeyed", "silent", "fenced", "outdated", "late", "no_room", "no_ticket", "unwell", "other_life", "malformed", "undelivered", "not_sent"}
+var statusNames = [...]string{"obeyed", "silent", "fenced", "outdated", "late", "no_room", "no_ticket", "unwell", "other_life", "malformed", "undelivered", "not_sent", "restarted"}
 
 // String returns the name used in logs.
 func (s Status) String() string {
