Await the leases of earlier owners on executors that are claimed

Cause: the new owner counted only the leases that it had granted itself. It gives a draining executor 3 s, and the 6.5 s of the former owner stay in force. The leases of earlier owners were counted for executors that had not responded yet.

Change: runs are given up only after the leases of earlier owners have expired as well, whatever the state of the executor. Without draining the new owner's own leases are the longer ones, so that nothing else waits.

TestNewOwnerAwaitsLeaseOfFormerOwnerOnDrainingExecutor failed before.

--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -391,7 +391,7 @@
 		c.dropExecutor(ex)
 		return
 	}
-	if now.Before(ex.leaseExpiry()) {
+	if now.Before(ex.leaseExpiry()) || now.Before(c.priorLeasesExpiry()) {
 		return
 	}
 	if len(ex.runs) > 0 {
--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -68,3 +68,26 @@
 		assert.Equal(t, poll.Incarnation, x.incarnation, "%s", status)
 	}
 }
+
+// Guards against a task that runs twice: a new owner gives a draining executor a shorter lease than the former owner,
+// which stays in force.
+func TestNewOwnerAwaitsLeaseOfFormerOwnerOnDrainingExecutor(t *testing.T) {
+	sim, o := newIdleCell(t, 4)
+	sim.failureShare = 0
+	sim.submit(o, "a", singleStep(testQueue, 1, 30*time.Second))
+	sim.advance(2 * time.Second)
+	var x *fakeExecutor
+	for _, other := range sim.sortedExecutors() {
+		if len(other.runs) > 0 {
+			x = other
+		}
+	}
+	x.Draining, x.MinRemaining = true, 20*time.Second
+	o.dead = true
+	next := sim.takeOver()
+	sim.advance(300 * time.Millisecond)
+	x.partitioned = true
+	sim.advance(12 * time.Second)
+	sim.expectNoViolations()
+	assert.Equal(t, next.core.Stats.Starts, int64(1), "the task was not started again")
+}
