Give up starts of a former incarnation at once and count its crash

Cause: the executor that had restarted was sent a stop for the unanswered start, since an order might have reached it. The response to the stop counted as a confirmation by the new incarnation, and the next list, which did not name the run, took the crash back. Before starts were bound to an incarnation the repeated start crashed the new incarnation as well.

Change: a start ends with the incarnation for which it was sent. Its run is lost once the next one responds, and its crash counts. A stop is still sent for starts that named no incarnation.

TestTaskThatCrashesExecutorsBeforeTheyRespondIsGivenUp failed before (six starts after three crashes; two are allowed).

--- a/internal/cell/blame_test.go
+++ b/internal/cell/blame_test.go
@@ -145,3 +145,18 @@
 		}
 	}
 }
+
+// Guards against a task that is not given up: its executors crash before they have responded to the start, and each
+// crash was taken back with the response of the next incarnation.
+func TestTaskThatCrashesExecutorsBeforeTheyRespondIsGivenUp(t *testing.T) {
+	for _, keepsID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keeps ID %t", keepsID), func(t *testing.T) {
+			sim, o := newCrashCell(t, 1, 8, keepsID)
+			sim.crashesBeforeResponse = true
+			sim.submitDeadly(o, "deadly", singleStep(testQueue, 1, 500*time.Millisecond))
+			sim.advance(60 * time.Second)
+			sim.expectBoundedCrashes()
+			assert.Equal(t, o.core.State("deadly").State, flow.Failed)
+		})
+	}
+}
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -202,7 +202,7 @@
 // isForFormerIncarnation reports whether the executor has restarted since the start was decided. The lease end, the
 // ticket and the room of the start are those of the former incarnation.
 func (r *run) isForFormerIncarnation() bool {
-	return r.start != nil && r.start.Incarnation != r.ex.incarnation
+	return r.start != nil && r.start.Incarnation != 0 && r.start.Incarnation != r.ex.incarnation
 }
 
 // mayHaveRun reports whether an attempt to start the run was executed or may still be. The response to one that is
@@ -322,7 +322,7 @@
 	}
 	if resp.Status == fleet.NotSent || resp.Status == fleet.Restarted {
 		c.awaitResponse(r.ex)
-		if resp.Status == fleet.NotSent && r.mayHaveRun() {
+		if resp.Status == fleet.NotSent && r.mayHaveRun() && !r.isForFormerIncarnation() {
 			c.retryStart(now, cmd)
 			return
 		}
@@ -360,12 +360,18 @@
 		return
 	}
 	if r.isForFormerIncarnation() {
-		c.stopRun(now, r, "executor restarted")
+		// If the start was executed, it was by the incarnation that has crashed.
+		c.recordTaskCrash(now, r, true, "executor restarted before it responded")
+		c.markLost(now, r, "executor restarted")
 		return
 	}
-	c.Stats.Resent++
 	r.commandPending = true
-	retry := Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1}
+	c.resend(now, Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1})
+}
+
+// resend queues the repetition of a start.
+func (c *Core) resend(now time.Time, retry Command) {
+	c.Stats.Resent++
 	if c.OwnershipConfirmed(now) {
 		c.commands = append(c.commands, retry)
 		return
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -375,6 +375,11 @@
 			return
 		}
 		resp := x.execute(sim, cmd)
+		if sim.crashesBeforeResponse && cmd.Start != nil && sim.deadly[cmd.Start.Task] {
+			x.crash(sim)
+			sim.schedule(messageDelay, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+			return
+		}
 		if sim.lostCommandShare > 0 && sim.rng.Float64() < sim.lostCommandShare {
 			wait := max(o.core.CommandTimeout(sim.now, cmd.Attempt)-sim.now.Sub(sent), 0)
 			sim.schedule(wait, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -174,14 +174,13 @@
 	ex.recordSuccess()
 	ex.slowdown = 1
 	for _, r := range lost {
-		switch {
-		case r.mayStartLate:
-			// A delayed start may still reach the new incarnation, which does not know the lease of
-			// the former one. A stop prevents it from being executed.
+		if r.mayStartLate && !r.isForFormerIncarnation() {
+			// The start named no incarnation and may still reach the new one. A stop prevents it from being
+			// executed.
 			c.stopRun(now, r, "executor restarted")
-		default:
-			c.markLost(now, r, "executor restarted")
+			continue
 		}
+		c.markLost(now, r, "executor restarted")
 	}
 	c.stopLateStarts(now, ex)
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -127,6 +127,8 @@
 	hopeless map[fleet.TaskID]bool
 	// lastingFailureShare is the share of runs of long-running tasks that fail.
 	lastingFailureShare float64
+	// crashesBeforeResponse makes deadly tasks crash their executor before it has responded to the start.
+	crashesBeforeResponse bool
 	// crashesSilently keeps executors that deadly tasks crash from breaking their connections.
 	crashesSilently bool
 	// adviceFails makes calls to the policy service fail; adviceDelay is added to their duration.
