Repeat a start only once its executor responds again

Change: when no connection can be opened, the repetition waits for the next response of the executor. If that lists the run, it is not sent.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -173,6 +173,10 @@
 	if r.ex.runs[r.key] != r {
 		return true // the run was lost in the meantime
 	}
+	if !r.stopping && cmd.Attempt > 0 && !r.confirmedAt.IsZero() {
+		r.commandPending = false
+		return true // a list has told meanwhile that an earlier attempt was executed
+	}
 	if !r.stopping && r.isForFormerIncarnation() {
 		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
 			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has restarted")
@@ -323,7 +327,7 @@
 	if resp.Status == fleet.NotSent || resp.Status == fleet.Restarted {
 		c.awaitResponse(r.ex)
 		if resp.Status == fleet.NotSent && r.mayHaveRun() && !r.isForFormerIncarnation() {
-			c.retryStart(now, cmd)
+			c.holdRetry(cmd)
 			return
 		}
 	}
@@ -353,6 +357,25 @@
 	c.secondPolls = append(c.secondPolls, ex.ID)
 }
 
+// holdRetry repeats a start once the executor responds. While no connection can be opened, each attempt would fail at
+// once.
+func (c *Core) holdRetry(cmd Command) {
+	r := cmd.run
+	if r.stopping {
+		return
+	}
+	r.commandPending = true
+	r.ex.heldRetries = append(r.ex.heldRetries, Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1})
+}
+
+// releaseRetries sends the starts again that were held until the executor responds.
+func (c *Core) releaseRetries(now time.Time, ex *executor) {
+	for _, retry := range ex.heldRetries {
+		c.resend(now, retry)
+	}
+	ex.heldRetries = nil
+}
+
 // retryStart sends a start again whose earlier attempt may have been executed.
 func (c *Core) retryStart(now time.Time, cmd Command) {
 	r := cmd.run
--- a/internal/cell/commands_test.go
+++ b/internal/cell/commands_test.go
@@ -179,3 +179,26 @@
 	sim.expectNoViolations()
 	assert.Equal(t, o.core.State("job").State, flow.Completed)
 }
+
+// Guards against an owner that is busy with one executor: no connection to it can be opened, and a start that may have
+// run is repeated at once each time.
+func TestStartIsRepeatedOnceItsExecutorResponds(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		sim, o, x, start := startUnanswered(t)
+		o.core.ApplyCommandResponse(sim.now, start, fleet.Response{Status: fleet.NoResponse})
+		for _, retry := range o.core.TakeCommands() {
+			o.core.ApplyCommandResponse(sim.now, retry, fleet.Response{Status: fleet.NotSent})
+		}
+		assert.Equal(t, len(o.core.TakeCommands()), 0)
+		resp := x.listRuns(sim)
+		resp.Status = fleet.Executed
+		if listed {
+			resp.Runs = []fleet.Run{{Task: start.Start.Task, Number: start.Start.Number}}
+		}
+		o.core.ApplyPollResponse(sim.now, sim.now, x.ID, resp)
+		retries := o.core.TakeCommands()
+		assert.Equal(t, len(retries), 1)
+		assert.Equal(t, retries[0].Start.Number, start.Start.Number)
+		assert.Equal(t, o.core.DiscardUnwanted(sim.now, retries[0]), listed)
+	}
+}
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -125,6 +125,8 @@
 	// unackedEnds are the ended runs that were applied and are not acknowledged.
 	unackedEnds []unackedEnd
 
+	// heldRetries are starts that are repeated once the executor responds.
+	heldRetries []Command
 	// lateStarts are starts that timed out and may still be executed.
 	lateStarts []lateStart
 
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -142,6 +142,7 @@
 		ex.unconfirmedStarts = 0
 		c.markFreed(ex)
 	}
+	c.releaseRetries(now, ex)
 	if ex.claimed && !wasUnresponsive {
 		return
 	}
