--- a/internal/cell/lookup_test.go
+++ b/internal/cell/lookup_test.go
@@ -66,7 +66,7 @@
 			return
 		}
 		x.maxEpoch = poll.Epoch
-		if bound := poll.LeaseEnd > 0 || poll.AckedSequence > 0; bound && poll.Incarnation != 0 && poll.Incarnation != x.incarnation {
+		if target := poll.Target(); target != 0 && target != x.incarnation {
 			p.respond(sent, poll) // the lease and the acknowledgment are not sent to another incarnation
 			return
 		}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -361,7 +361,7 @@
 			}
 			return
 		}
-		if cmd.Start != nil && cmd.Start.Incarnation != 0 && cmd.Start.Incarnation != x.incarnation {
+		if cmd.Start != nil && cmd.Start.Target() != 0 && cmd.Start.Target() != x.incarnation {
 			// An open connection breaks, a new one is to another incarnation.
 			status := fleet.Restarted
 			if sim.now.UnixMilli()%2 == 0 {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -273,7 +273,7 @@
 			defer cancel()
 			resp := s.Start(ctx, executor(0), fleet.Start{
 				Task: fleet.TaskID{Job: fmt.Sprint(i / tasks), Index: i % tasks}, Number: 1001, Text: fmt.Sprint("text ", i/tasks),
-				Checkpoint: "k", Ticket: "t", LeaseEnd: 1234 * time.Millisecond, Epoch: 2,
+				Checkpoint: "k", Ticket: "t", LeaseEnd: 1234 * time.Millisecond, Incarnation: 99, Epoch: 2,
 			})
 			assert.Check(t, cmp.DeepEqual(resp, want))
 		})
@@ -284,7 +284,7 @@
 	for _, cmd := range starts {
 		assert.DeepEqual(t, cmd, fleet.Start{
 			Task: cmd.Task, Number: 1001, Text: "text " + cmd.Task.Job,
-			Checkpoint: "k", Ticket: "t", LeaseEnd: 1234 * time.Millisecond, Epoch: 2,
+			Checkpoint: "k", Ticket: "t", LeaseEnd: 1234 * time.Millisecond, Incarnation: 99, Epoch: 2,
 		})
 	}
 	sent := fleet.Poll{Epoch: 2, AckedSequence: 3, LeaseEnd: 1234 * time.Millisecond, KnownSequence: 4, Incarnation: 99, Wait: 700 * time.Millisecond}
