Test that tickets belong to one incarnation of an executor

A ticket holds for one incarnation, also one that was asked for before a restart and arrives after it, and the rejection of the former one's ticket leaves the new one in force. Without the checks of incarnation and value in internal/cell/steps.go these tests fail.

--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -91,3 +92,124 @@
 	sim.expectNoViolations()
 	assert.Equal(t, next.core.Stats.Starts, int64(1), "the task was not started again")
 }
+
+// soleOwner is an owner of the executor x0, whose calls the test answers.
+type soleOwner struct {
+	t    *testing.T
+	core *cell.Core
+	now  time.Time
+}
+
+// newSoleOwner returns the owner after incarnation 7 has responded.
+func newSoleOwner(t *testing.T, advice *fleet.Advice) *soleOwner {
+	t.Helper()
+	o := &soleOwner{t: t, now: time.Unix(1_700_000_000, 0)}
+	queues := slices.Clone(coreQueues)
+	queues[0].Advice = advice
+	o.core = newCore(o.now, queues)
+	o.core.SetExecutor(o.now, o.now, coreExecutor("x0"))
+	o.respond(7, time.Hour)
+	o.commit()
+	return o
+}
+
+// respond applies the response of an incarnation to a poll that was sent a millisecond before.
+func (o *soleOwner) respond(incarnation int64, clock time.Duration, runs ...fleet.Run) {
+	o.now = o.now.Add(2 * time.Millisecond)
+	claim(o.core, o.now, "x0", incarnation, clock, fleet.Response{Runs: runs})
+}
+
+func (o *soleOwner) commit() {
+	o.t.Helper()
+	b, err := o.core.NextBatch()
+	assert.NilError(o.t, err)
+	o.core.ConfirmOwnership(o.now)
+	o.core.BatchCommitted(o.now, b)
+}
+
+// decide stores what is due, lets the owner schedule and returns its commands.
+func (o *soleOwner) decide() []cell.Command {
+	o.t.Helper()
+	o.now = o.now.Add(time.Millisecond)
+	o.core.Schedule(o.now)
+	o.commit()
+	o.core.Schedule(o.now)
+	return o.core.TakeCommands()
+}
+
+func (o *soleOwner) submit(id string, tasks int, cpuMillis int64) {
+	spec := singleStep(testQueue, tasks, 10*time.Second)
+	spec.Steps[0].Need.CPUMillis, spec.Accepted = cpuMillis, o.now
+	o.core.Submit(o.now, id, spec, func(cell.Reply) {})
+}
+
+// allow answers the next call to the policy service with a ticket for x0.
+func (o *soleOwner) allow(ticket string) {
+	o.t.Helper()
+	req := o.ask()
+	o.core.ApplyAdvice(o.now, req, []fleet.Ticket{{Executor: "x0", Value: ticket}}, testAdvice.TicketTTL, true)
+}
+
+func (o *soleOwner) ask() *cell.AdviceRequest {
+	o.t.Helper()
+	o.now = o.now.Add(100 * time.Millisecond) // the owner looks for executors to ask for at intervals
+	o.core.Schedule(o.now)
+	req := o.core.NextAdviceRequest(o.now, false)
+	assert.Assert(o.t, req != nil, "the policy service is not asked for x0")
+	return req
+}
+
+var testAdvice = &fleet.Advice{BaseLatency: 5 * time.Millisecond, LatencyPerExecutor: time.Millisecond, TicketTTL: 2 * time.Second}
+
+// onlyStart returns the start among commands, and fails if there are several or none.
+func onlyStart(t *testing.T, cmds []cell.Command) cell.Command {
+	t.Helper()
+	cmds = slices.DeleteFunc(cmds, func(cmd cell.Command) bool { return cmd.Start == nil })
+	assert.Equal(t, len(cmds), 1)
+	return cmds[0]
+}
+
+// Guards against starts that are rejected for want of a ticket, and priced: a ticket holds for one incarnation.
+func TestTicketOfFormerIncarnationIsNotUsed(t *testing.T) {
+	for _, restartsBeforeAnswer := range []bool{false, true} {
+		o := newSoleOwner(t, testAdvice)
+		o.submit("a", 1, 2000)
+		o.commit()
+		req := o.ask()
+		if restartsBeforeAnswer {
+			o.respond(8, time.Second)
+		}
+		o.core.ApplyAdvice(o.now, req, []fleet.Ticket{{Executor: "x0", Value: "t7"}}, testAdvice.TicketTTL, true)
+		if !restartsBeforeAnswer {
+			o.respond(8, time.Second)
+		}
+		for _, cmd := range o.decide() {
+			assert.Assert(t, cmd.Start == nil, "start with ticket %s", cmd.Start.Ticket)
+		}
+		o.allow("t8")
+		start := onlyStart(t, o.decide()).Start
+		assert.Equal(t, start.Ticket, "t8")
+		assert.Equal(t, start.Incarnation, int64(8))
+	}
+}
+
+// Guards against a step that counts as denied on an executor that started again: the ticket that its former
+// incarnation rejected is not the one for the present incarnation.
+func TestTicketRejectedByFormerIncarnationKeepsNewOne(t *testing.T) {
+	o := newSoleOwner(t, testAdvice)
+	o.submit("a", 2, 6000)
+	o.commit()
+	o.allow("t7")
+	start := onlyStart(t, o.decide())
+	o.respond(8, time.Second)
+	larger := coreExecutor("x0") // the next incarnation is of another kind
+	larger.Capacity.CPUMillis, larger.EntryVersion = 16000, 2
+	o.core.SetExecutor(o.now, o.now, larger)
+	o.allow("t8")
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.InvalidTicket})
+	next := slices.DeleteFunc(o.decide(), func(cmd cell.Command) bool { return cmd.Start == nil })
+	assert.Equal(t, len(next), 2)
+	for _, cmd := range next {
+		assert.Equal(t, cmd.Start.Ticket, "t8")
+	}
+}
