Leave an executor alone that rejects a ticket which should be valid

What callers would see: starts that are rejected for want of a ticket, each of which has its price, as often as the policy service responds.

Cause: since a rejected ticket is asked for again, nothing bounds how often an executor is tried that rejects tickets which have not run out.

Change: it gets no new tasks for half a second, as after other rejections. After the rejection of a ticket that has run out it is used at once.

TestExecutorThatRejectsValidTicketsIsLeftAlone failed before.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -332,7 +332,9 @@
 		WithField("doubtful", r.unconfirmed).WithField("cause", resp.Cause).Info("start rejected")
 	switch resp.Status {
 	case fleet.InvalidTicket:
-		r.step.expireTicket(now, r.ex.ID, cmd.Start.Ticket)
+		if r.step.expireTicket(now, r.ex.ID, cmd.Start.Ticket) {
+			r.ex.avoidUntil = now.Add(rejectionBackoff)
+		}
 	case fleet.Unavailable, fleet.InsufficientCapacity, fleet.Malformed:
 		r.ex.avoidUntil = now.Add(rejectionBackoff)
 	}
--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -193,6 +193,22 @@
 	}
 }
 
+// Guards against starts that are rejected again and again, each of which has its price: an executor that rejects a ticket
+// that should be valid is left alone for a while.
+func TestExecutorThatRejectsValidTicketsIsLeftAlone(t *testing.T) {
+	o := newSoleOwner(t, testAdvice)
+	o.submit("a", 1, 2000)
+	o.commit()
+	o.allow("t1")
+	o.core.ApplyCommandResponse(o.now, onlyStart(t, o.decide()), fleet.Response{Status: fleet.InvalidTicket})
+	o.now = o.now.Add(300 * time.Millisecond)
+	o.core.Schedule(o.now)
+	assert.Assert(t, o.core.NextAdviceRequest(o.now, false) == nil)
+	o.now = o.now.Add(200 * time.Millisecond)
+	o.allow("t2")
+	assert.Equal(t, onlyStart(t, o.decide()).Start.Ticket, "t2")
+}
+
 // Guards against a step that counts as denied on an executor that started again: the ticket that its former
 // incarnation rejected is not the one for the present incarnation.
 func TestTicketRejectedByFormerIncarnationKeepsNewOne(t *testing.T) {
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -331,13 +331,16 @@
 	return ok && t.incarnation == ex.incarnation && !now.Add(ticketMargin).After(t.until)
 }
 
-// expireTicket records that an executor rejected a ticket, which has run out. The step is still allowed there and asks
-// for another one: without any it would count as denied.
-func (st *stepState) expireTicket(now time.Time, id, value string) {
-	if t, ok := st.tickets[id]; ok && t.value == value && now.Before(t.until) {
-		t.until = now
-		st.tickets[id] = t
+// expireTicket records that an executor rejected a ticket, and reports whether it should not have run out yet. The step
+// is still allowed there and asks for another one: without any it would count as denied.
+func (st *stepState) expireTicket(now time.Time, id, value string) bool {
+	t, ok := st.tickets[id]
+	if !ok || t.value != value || !now.Before(t.until) {
+		return false
 	}
+	t.until = now
+	st.tickets[id] = t
+	return true
 }
 
 // isEligible reports whether the executor may run tasks of the step, regardless of free capacity.
