Poll at once for a run that the former incarnation of an executor started

What callers would see: a task that starts again up to 1.4 s late. Its executor has restarted, and the response to its start, by the former incarnation, arrives after the restart was noticed.

Cause: the run counted as confirmed until a list of runs that was asked for later did not name it. The poll in flight and the next one may each be held for 0.7 s. The reading of the former incarnation's clock was kept besides.

Change: the executor is polled at once, without a hold, as after a start without a response. The run is not given up without that list: a relay of a former version may have sent the start to the present incarnation.

TestRunOfFormerIncarnationIsGivenUpSoon failed before.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -303,6 +303,13 @@
 			r.job.lastRunNumber[r.task] += runsPerEpoch
 		}
 		r.unconfirmed = false
+		if r.isForFormerIncarnation() {
+			// The clock of the response is the former one's. The next list shows that the run is gone, or that a
+			// relay of a former version has sent the start to the present incarnation.
+			r.confirm(now, 0, false)
+			c.awaitResponse(r.ex)
+			return
+		}
 		r.confirm(now, resp.Clock, resp.HasClock)
 		if !r.progressKnown {
 			r.progressKnown, r.progressClock = true, r.confirmedClock
@@ -349,7 +356,8 @@
 	c.giveBack(now, r)
 }
 
-// awaitResponse keeps new tasks from an executor that did not respond to a start until it responds to a poll.
+// awaitResponse keeps new tasks from an executor until it responds to a poll, which is sent at once: it did not respond
+// to a start, or has restarted since.
 func (c *Core) awaitResponse(ex *executor) {
 	ex.unconfirmedStarts++
 	c.secondPolls = append(c.secondPolls, ex.ID)
--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -229,3 +229,22 @@
 		assert.Equal(t, cmd.Start.Ticket, "t8")
 	}
 }
+
+// Guards against a task that waits for a poll of 0.7 s: the start of the former incarnation was executed, and the
+// response arrives after the restart was noticed. The lists of the next incarnation show that the run is gone.
+func TestRunOfFormerIncarnationIsGivenUpSoon(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.respond(8, time.Second)
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Hour})
+	assert.Assert(t, slices.Contains(o.core.TakeSecondPolls(), "x0") && o.core.NeedsSecondPoll("x0"))
+	_, poll, _ := o.core.NextPoll(o.now, "x0")
+	assert.Equal(t, poll.Wait, time.Duration(0))
+	o.now = o.now.Add(5 * time.Millisecond)
+	o.respond(8, time.Second+5*time.Millisecond)
+	next := onlyStart(t, o.decide()).Start
+	assert.Equal(t, next.Incarnation, int64(8))
+	assert.Assert(t, next.Number > start.Start.Number, "the next incarnation rejects numbers up to that of a run stopped there")
+	assert.Assert(t, next.LeaseEnd < time.Minute, "the lease end is on the clock of the former incarnation")
+}
