Decide about held starts of an executor when it restarts

What callers would see: while the store is away a task whose executor has restarted does not start again, although tasks start on other executors.

Cause: a start without a response is held back until ownership is confirmed, and the run waits for it. After a restart it is not sent anyway.

Change: a restart hands the held starts of the executor out, and DiscardUnwanted turns them into stops or gives their tasks back.

TestHeldStartOfFormerIncarnationIsNotKept failed before.

--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -248,3 +248,30 @@
 	assert.Assert(t, next.Number > start.Start.Number, "the next incarnation rejects numbers up to that of a run stopped there")
 	assert.Assert(t, next.LeaseEnd < time.Minute, "the lease end is on the clock of the former incarnation")
 }
+
+// Guards against a run that is lost and waits until the store is back: its start has no response, is held back until
+// ownership is confirmed, and the executor restarts meanwhile.
+func TestHeldStartOfFormerIncarnationIsNotKept(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.now = o.now.Add(time.Second) // the store does not respond
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.NoResponse})
+	assert.Equal(t, len(o.core.TakeCommands()), 0, "the start is held back")
+	o.respond(8, time.Second)
+	stopped := false
+	for _, cmd := range o.core.TakeCommands() {
+		stopped = stopped || cmd.Stop != nil
+		if cmd.Start != nil {
+			assert.Assert(t, o.core.DiscardUnwanted(o.now, cmd))
+			for _, cmd := range o.core.TakeCommands() {
+				stopped = stopped || cmd.Stop != nil
+			}
+		}
+	}
+	assert.Assert(t, stopped, "nothing is done about the run")
+	o.core.ConfirmOwnership(o.now)
+	for _, cmd := range o.core.TakeCommands() {
+		assert.Assert(t, cmd.Start == nil || o.core.DiscardUnwanted(o.now, cmd), "the start of the former incarnation is sent")
+	}
+}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -184,6 +184,18 @@
 		}
 	}
 	c.stopLateStarts(now, ex)
+	c.releaseHeldStarts(ex)
+}
+
+// releaseHeldStarts hands out the starts that are held back for an executor. After a restart DiscardUnwanted keeps them
+// from being sent, so that their tasks need not wait for the store.
+func (c *Core) releaseHeldStarts(ex *executor) {
+	c.heldStarts = slices.DeleteFunc(c.heldStarts, func(cmd Command) bool {
+		if cmd.run.ex == ex {
+			c.commands = append(c.commands, cmd)
+		}
+		return cmd.run.ex == ex
+	})
 }
 
 // stopLateStarts sends stops for starts that were sent to the former incarnation of an executor and
