Keep the runs that an owner was told of by incarnation

What callers would see: a run that its owner hears of up to 0.7 s late.

Cause: a relay leaves runs out of the news of an end that the owner was told before. The list outlived a restart of the executor that the owner heard of on another way, and hid a run with the same number of the next incarnation. Numbers of runs are not used twice for starts that are bound to an incarnation, so that only a relay or an owner of a former version can bring it about.

Change: the list belongs to one incarnation.

TestRunsToldOfFormerIncarnationAreToldAgain failed before.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -58,8 +58,10 @@
 
 // Told holds the runs of an executor that the owner was told last. It is safe for concurrent use.
 type Told struct {
-	mu   sync.Mutex
-	runs map[toldRun]bool
+	mu sync.Mutex
+	// runs are those of the given incarnation: numbers of runs told of another one say nothing.
+	runs        map[toldRun]bool
+	incarnation int64
 	// usedAt is when the executor was last polled.
 	usedAt time.Time
 }
@@ -69,10 +71,14 @@
 	number int64
 }
 
-// update makes the listed runs those that the owner was told, and returns the ones that it was not told before.
-func (t *Told) update(listed []fleet.Run) []fleet.Run {
+// update makes the listed runs of an incarnation those that the owner was told, and returns the ones that it was not
+// told before.
+func (t *Told) update(incarnation int64, listed []fleet.Run) []fleet.Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if incarnation != t.incarnation {
+		t.runs, t.incarnation = nil, incarnation
+	}
 	var added []fleet.Run
 	runs := make(map[toldRun]bool, len(listed))
 	for i := range listed {
@@ -145,7 +151,7 @@
 	restarted := resp.Incarnation != w.poll.Incarnation
 	formerOwner := w.poll.Incarnation == 0 && len(resp.Ends) > 0 // it does not tell what it knows
 	if restarted || formerOwner || !now.Before(w.end) {
-		w.told.update(resp.Runs)
+		w.told.update(resp.Incarnation, resp.Runs)
 		return resp, true, 0
 	}
 	for i := range resp.Ends {
@@ -168,7 +174,7 @@
 			ends = append(ends, e)
 		}
 	}
-	resp.Ends, resp.Runs, resp.Partial = ends, w.told.update(resp.Runs), true
+	resp.Ends, resp.Runs, resp.Partial = ends, w.told.update(resp.Incarnation, resp.Runs), true
 	return resp
 }
 
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -198,3 +198,15 @@
 		}
 	})
 }
+
+// Guards against a run that the owner hears of late: the one that it was told of the former incarnation of an executor
+// is not the one of the same number of the next, whose restart the owner heard of on another way.
+func TestRunsToldOfFormerIncarnationAreToldAgain(t *testing.T) {
+	told, next := &relay.Told{}, watched
+	former := listed(7, []int64{1, 2})
+	runSteps(t, watched, false, told, []step{{700, 3, 700, former, 0, &former}})
+	next.Incarnation = 8
+	news := listed(8, []int64{1, 3}, 6)
+	news.Partial = true
+	runSteps(t, next, false, told, []step{{700, 3, 2, listed(8, []int64{1, 3}, 6), 0, &news}})
+}
