--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -275,3 +275,87 @@
 		assert.Assert(t, cmd.Start == nil || o.core.DiscardUnwanted(o.now, cmd), "the start of the former incarnation is sent")
 	}
 }
+
+// Guards against ends that the owner never reads: what it has read of the former incarnation is stored after the
+// restart, and the next one counts its ends anew.
+func TestAcknowledgmentStoredAfterRestartIsDropped(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	claim(o.core, o.now, "x0", 7, time.Hour, fleet.Response{Ends: []fleet.End{{Sequence: 57, Task: fleet.TaskID{Job: "z"}, Number: 1}}})
+	b, err := o.core.NextBatch()
+	assert.NilError(t, err)
+	o.respond(8, time.Second)
+	o.core.BatchCommitted(o.now, b)
+	_, poll, _ := o.core.NextPoll(o.now, "x0")
+	assert.Equal(t, poll.AckedSequence, int64(0))
+	assert.Equal(t, poll.KnownSequence, int64(0))
+}
+
+// Guards against tasks that wait for hours: a lease end that the former incarnation was sent says nothing about when
+// the runs of the next one have ended.
+func TestLeaseOfFormerIncarnationIsNotAwaited(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	o.core.ApplyCommandResponse(o.now, onlyStart(t, o.decide()), fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Hour})
+	o.respond(8, time.Second)
+	start := onlyStart(t, o.decide())
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Second})
+	lost := o.core.Stats.Lost
+	for range 2 {
+		o.core.ApplyPollResponse(o.now, o.now, "x0", fleet.Response{Status: fleet.NoResponse})
+	}
+	o.now = o.now.Add(6 * time.Second)
+	o.core.Tick(o.now)
+	assert.Equal(t, o.core.Stats.Lost, lost, "the lease is in force")
+	o.now = o.now.Add(2 * time.Second)
+	o.core.Tick(o.now)
+	assert.Equal(t, o.core.Stats.Lost, lost+1)
+}
+
+// Guards against a task that runs twice: a start without a response may be carried out after its executor restarted and
+// the run was given up. The stop makes the next incarnation reject it.
+func TestStopFollowsUnansweredStartToNextIncarnation(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.NoResponse})
+	for range 2 {
+		o.core.ApplyPollResponse(o.now, o.now, "x0", fleet.Response{Status: fleet.NoResponse})
+	}
+	o.now = o.now.Add(8 * time.Second)
+	o.core.Tick(o.now)
+	assert.Equal(t, o.core.Stats.Lost, int64(1))
+	o.core.TakeCommands()
+	o.respond(8, time.Second)
+	cmds := o.core.TakeCommands()
+	assert.Equal(t, len(cmds), 1)
+	assert.Equal(t, cmds[0].Stop.Number, start.Start.Number)
+}
+
+// Guards against a task that runs twice: an incarnation that began after the owner was confirmed last knows no epoch,
+// and would carry out the starts of an owner that has a successor.
+func TestFormerOwnerStartsNothingOnNewIncarnation(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Hour})
+	o.now = o.now.Add(time.Second) // the store does not respond
+	o.respond(8, time.Second)
+	assert.Equal(t, o.core.Stats.Lost, int64(1))
+	o.core.Schedule(o.now)
+	assert.Equal(t, len(o.core.TakeCommands()), 0)
+	onlyStart(t, o.decide()) // ownership is confirmed
+}
+
+// Guards against a task that runs twice: a successor counts the leases of this owner from its last confirmation, also
+// those that a new incarnation gets from it later.
+func TestFormerOwnerGivesNewIncarnationShortLease(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide()).Start
+	o.now = o.now.Add(3 * time.Second) // the store does not respond
+	clock := time.Second
+	o.respond(8, clock, fleet.Run{Task: start.Task, Number: start.Number + 1000}) // by a successor
+	_, poll, _ := o.core.NextPoll(o.now, "x0")
+	assert.Assert(t, poll.LeaseEnd > 0)
+	assert.Assert(t, poll.LeaseEnd <= clock+lease-3*time.Second, "%s", poll.LeaseEnd-clock)
+}
