Poll at once for runs that a restart leaves in doubt

What callers would see: after a restart some tasks of the executor start again 0.7 s later than others: those whose start was confirmed while the poll was in flight that shows the restart, and those whose start had no response and was stopped in the next incarnation.

Cause: both count as lost only with a list of runs that was asked for later, and that poll is held for 0.7 s while the executor has runs on record.

Change: a poll without a hold is sent at once.

TestRunsLeftByRestartArePolledForAtOnce failed before in both cases.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -291,6 +291,9 @@
 	// From here on the run cannot be started; the next poll tells whether it was.
 	r.unconfirmed = false
 	r.confirm(now, resp.Clock, resp.HasClock)
+	if r.isForFormerIncarnation() {
+		c.awaitResponse(r.ex)
+	}
 }
 
 func (c *Core) applyStartResponse(now time.Time, cmd Command, resp fleet.Response) {
--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -359,3 +359,36 @@
 	assert.Assert(t, poll.LeaseEnd > 0)
 	assert.Assert(t, poll.LeaseEnd <= clock+lease-3*time.Second, "%s", poll.LeaseEnd-clock)
 }
+
+// Guards against tasks that wait for a poll of 0.7 s after a restart: a run whose start was confirmed while the poll was
+// in flight that shows the restart, and one whose start was stopped since.
+func TestRunsLeftByRestartArePolledForAtOnce(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		o := newSoleOwner(t, nil)
+		sent := o.now
+		o.submit("a", 1, 2000)
+		start := onlyStart(t, o.decide())
+		restarted := fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Second, Incarnation: 8}
+		if confirmed {
+			o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Hour})
+			o.core.ApplyPollResponse(o.now, sent, "x0", restarted)
+		} else {
+			o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.NoResponse})
+			o.core.ApplyPollResponse(o.now, sent, "x0", restarted)
+			cmds := o.core.TakeCommands()
+			o.core.ApplyCommandResponse(o.now, cmds[0], fleet.Response{Status: fleet.NoResponse})
+			cmds = o.core.TakeCommands()
+			assert.Equal(t, len(cmds), 1)
+			o.respond(8, time.Second)
+			o.core.TakeSecondPolls()
+			o.core.ApplyCommandResponse(o.now, cmds[0], fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Second})
+		}
+		assert.Equal(t, o.core.Stats.Lost, int64(0))
+		assert.Assert(t, slices.Contains(o.core.TakeSecondPolls(), "x0") && o.core.NeedsSecondPoll("x0"), "confirmed: %t", confirmed)
+		_, poll, _ := o.core.NextPoll(o.now, "x0")
+		assert.Equal(t, poll.Wait, time.Duration(0))
+		o.now = o.now.Add(5 * time.Millisecond)
+		o.respond(8, time.Second+5*time.Millisecond)
+		assert.Equal(t, o.core.Stats.Lost, int64(1))
+	}
+}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -58,10 +58,14 @@
 	for i := range resp.Runs {
 		listed[runKey(resp.Runs[i].Task, resp.Runs[i].Number)] = true
 	}
-	if resp.Incarnation != 0 && ex.incarnation != 0 && resp.Incarnation != ex.incarnation {
+	restarted := resp.Incarnation != 0 && ex.incarnation != 0 && resp.Incarnation != ex.incarnation
+	if restarted {
 		c.handleRestart(now, sent, ex, resp, listed)
 	}
 	c.recordResponse(now, ex, resp)
+	if restarted && ex.hasUnlistedRuns(listed) {
+		c.awaitResponse(ex)
+	}
 	for i := range resp.Ends {
 		c.applyEnd(now, ex, &resp.Ends[i])
 	}
@@ -88,6 +92,16 @@
 	c.throttleBestEffort(now, ex)
 }
 
+// hasUnlistedRuns reports whether a list leaves out runs that were confirmed.
+func (ex *executor) hasUnlistedRuns(listed map[string]bool) bool {
+	for _, r := range ex.runs {
+		if !listed[r.key] && !r.confirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // isStale reports whether a newer response arrived first: one of the same incarnation with a later
 // clock, or one of another incarnation that was first seen after this poll was sent.
 func (ex *executor) isStale(sent time.Time, resp fleet.Response) bool {
