--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -295,6 +295,9 @@
 	// From here on the run cannot be started; the next poll tells whether it was.
 	r.unconfirmed = false
 	r.confirm(now, resp.Clock, resp.HasClock)
+	if r.isForFormerIncarnation() {
+		c.awaitResponse(r.ex)
+	}
 }
 
 func (c *Core) applyStartResponse(now time.Time, cmd Command, resp fleet.Response) {
@@ -307,6 +310,13 @@
 			r.job.lastRunNumber[r.task] += runsPerEpoch
 		}
 		r.unconfirmed = false
+		if r.isForFormerIncarnation() {
+			// The clock of the response is the former one's. The next list shows that the run is gone, or that a
+			// relay of a former version has sent the start to the present incarnation.
+			r.confirm(now, 0, false)
+			c.awaitResponse(r.ex)
+			return
+		}
 		r.confirm(now, resp.Clock, resp.HasClock)
 		if !r.progressKnown {
 			r.progressKnown, r.progressClock = true, r.confirmedClock
@@ -336,7 +346,9 @@
 		WithField("doubtful", r.unconfirmed).WithField("cause", resp.Cause).Info("start rejected")
 	switch resp.Status {
 	case fleet.InvalidTicket:
-		r.step.expireTicket(now, r.ex.ID, cmd.Start.Ticket)
+		if r.step.expireTicket(now, r.ex.ID, cmd.Start.Ticket) {
+			r.ex.avoidUntil = now.Add(rejectionBackoff)
+		}
 	case fleet.Unavailable, fleet.InsufficientCapacity, fleet.Malformed:
 		r.ex.avoidUntil = now.Add(rejectionBackoff)
 	}
@@ -351,7 +363,8 @@
 	c.giveBack(now, r)
 }
 
-// awaitResponse keeps new tasks from an executor that did not respond to a start until it responds to a poll.
+// awaitResponse keeps new tasks from an executor until it responds to a poll, which is sent at once: it did not respond
+// to a start, or has restarted since.
 func (c *Core) awaitResponse(ex *executor) {
 	ex.unconfirmedStarts++
 	c.secondPolls = append(c.secondPolls, ex.ID)
