Lose the runs of an incarnation with it, whatever responds afterwards

What callers saw: nothing yet; found by review. A run whose start reached nobody was counted as a crash that only its task can have caused. After a retry that found another incarnation a stop was sent, the new incarnation confirmed it, and the confirmation counted as one of the run. And a response of the former incarnation that arrived after the restart was noticed left its task waiting for the next list.

Cause: what was known of a run did not say which incarnation it belongs to.

Change: a run names its incarnation and is lost when the next one responds. The confirmation of a stop is kept apart from that of a run.

TestRunThatReachedNobodyIsNotBlamedForCrash failed before.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -71,7 +71,7 @@
 	ex.extendLease(until)
 	r := &run{
 		job: st.job, step: st, task: t, number: number, ex: ex, key: runKey(t, number),
-		startedAt: now, cpuPercent: fullCPUPercent, commandPending: true,
+		startedAt: now, cpuPercent: fullCPUPercent, commandPending: true, incarnation: ex.incarnation,
 	}
 	r.start = &fleet.Start{
 		Task: t, Number: number, Text: st.job.Spec.Text, Checkpoint: state.Checkpoint,
@@ -206,7 +206,7 @@
 // isForFormerIncarnation reports whether the executor has restarted since the start was decided. The lease end, the
 // ticket and the room of the start are those of the former incarnation.
 func (r *run) isForFormerIncarnation() bool {
-	return r.start != nil && r.start.Incarnation != 0 && r.start.Incarnation != r.ex.incarnation
+	return r.incarnation != 0 && r.incarnation != r.ex.incarnation
 }
 
 // mayHaveRun reports whether an attempt to start the run was executed or may still be. The response to one that is
@@ -294,10 +294,7 @@
 	}
 	// From here on the run cannot be started; the next poll tells whether it was.
 	r.unconfirmed = false
-	r.confirm(now, resp.Clock, resp.HasClock)
-	if r.isForFormerIncarnation() {
-		c.awaitResponse(r.ex)
-	}
+	r.stoppedAt = now
 }
 
 func (c *Core) applyStartResponse(now time.Time, cmd Command, resp fleet.Response) {
@@ -311,10 +308,8 @@
 		}
 		r.unconfirmed = false
 		if r.isForFormerIncarnation() {
-			// The clock of the response is the former one's. The next list shows that the run is gone, or that a
-			// relay of a former version has sent the start to the present incarnation.
-			r.confirm(now, 0, false)
-			c.awaitResponse(r.ex)
+			r.confirm(now, 0, false) // the clock of the response is the former one's
+			c.loseFormerRun(now, r)
 			return
 		}
 		r.confirm(now, resp.Clock, resp.HasClock)
@@ -336,7 +331,14 @@
 	}
 	if resp.Status == fleet.NotSent || resp.Status == fleet.Restarted {
 		c.awaitResponse(r.ex)
-		if resp.Status == fleet.NotSent && r.mayHaveRun() && !r.isForFormerIncarnation() {
+		switch {
+		case !r.mayHaveRun():
+		case resp.Status == fleet.Restarted:
+			return // the run is lost with the former incarnation once a poll shows the restart
+		case r.isForFormerIncarnation():
+			c.loseFormerRun(now, r)
+			return
+		default:
 			c.holdRetry(cmd)
 			return
 		}
@@ -396,15 +398,20 @@
 		return
 	}
 	if r.isForFormerIncarnation() {
-		// If the start was executed, it was by the incarnation that has crashed.
-		c.recordTaskCrash(now, r, true, "executor restarted before it responded")
-		c.markLost(now, r, "executor restarted")
+		c.loseFormerRun(now, r)
 		return
 	}
 	r.commandPending = true
 	c.resend(now, Command{Executor: r.ex.Executor, Start: r.start, run: r, Attempt: cmd.Attempt + 1})
 }
 
+// loseFormerRun gives up a run of the former incarnation of an executor that was still in doubt when the restart was
+// noticed. If it was executed, it may be what crashed that incarnation.
+func (c *Core) loseFormerRun(now time.Time, r *run) {
+	c.recordTaskCrash(now, r, true, "executor restarted")
+	c.markLost(now, r, "executor restarted")
+}
+
 // resend queues the repetition of a start.
 func (c *Core) resend(now time.Time, retry Command) {
 	c.Stats.Resent++
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -226,6 +226,8 @@
 	ex     *executor
 	key    string
 	start  *fleet.Start
+	// incarnation is the only incarnation of the executor that can execute the run; 0 if it is unknown.
+	incarnation int64
 	// confirmedAt is when the executor first confirmed the run; zero while the outcome of the start
 	// is not known.
 	confirmedAt time.Time
@@ -238,6 +240,8 @@
 	// mayStartLate is set when a start timed out and may still be executed.
 	mayStartLate bool
 	stopping     bool
+	// stoppedAt is when the executor confirmed a stop of the run, which can no longer be started then.
+	stoppedAt time.Time
 	// blameDeferred is set when the executor fell silent or crashed while the response was due that tells
 	// whether the run was started.
 	blameDeferred bool
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -58,14 +58,10 @@
 	for i := range resp.Runs {
 		listed[runKey(resp.Runs[i].Task, resp.Runs[i].Number)] = true
 	}
-	restarted := resp.Incarnation != 0 && ex.incarnation != 0 && resp.Incarnation != ex.incarnation
-	if restarted {
+	if resp.Incarnation != 0 && ex.incarnation != 0 && resp.Incarnation != ex.incarnation {
 		c.handleRestart(now, sent, ex, resp, listed)
 	}
 	c.recordResponse(now, ex, resp)
-	if restarted && ex.hasUnlistedRuns(listed) {
-		c.awaitResponse(ex)
-	}
 	for i := range resp.Ends {
 		c.applyEnd(now, ex, &resp.Ends[i])
 	}
@@ -78,8 +74,8 @@
 	}
 	if len(resp.Ends) < maxEndsPerPoll {
 		for _, r := range ex.sortedRuns() {
-			if !listed[r.key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
-				if !r.confirmedAt.Before(ex.incarnationSince) {
+			if known := r.outcomeKnownSince(); !listed[r.key] && !known.IsZero() && known.Before(sent) {
+				if !known.Before(ex.incarnationSince) {
 					c.withdrawCrash(r.job, r.task, r.number)
 				}
 				c.markLost(now, r, "executor does not list the run")
@@ -92,16 +88,6 @@
 	c.throttleBestEffort(now, ex)
 }
 
-// hasUnlistedRuns reports whether a list leaves out runs that were confirmed.
-func (ex *executor) hasUnlistedRuns(listed map[string]bool) bool {
-	for _, r := range ex.runs {
-		if !listed[r.key] && !r.confirmedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // isStale reports whether a newer response arrived first: one of the same incarnation with a later
 // clock, or one of another incarnation that was first seen after this poll was sent.
 func (ex *executor) isStale(sent time.Time, resp fleet.Response) bool {
@@ -170,16 +156,28 @@
 	c.updateCordon(ex)
 }
 
-// handleRestart marks the runs of the former incarnation of an executor as lost. Runs that are
-// listed, and runs whose start was confirmed after the poll was sent, may belong to the new
-// incarnation.
+// outcomeKnownSince returns since when a list of the runs on its executor names the run if it is there; zero while its
+// start may still be executed.
+func (r *run) outcomeKnownSince() time.Time {
+	if r.confirmedAt.IsZero() {
+		return r.stoppedAt
+	}
+	return r.confirmedAt
+}
+
+// handleRestart marks the runs of the former incarnation of an executor as lost. The response to a first attempt to
+// start a run decides about that one. Runs of an unknown incarnation that are listed, or whose start was confirmed
+// after the poll was sent, may belong to the new one.
 func (c *Core) handleRestart(now, sent time.Time, ex *executor, resp fleet.Response, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", resp.Incarnation).WithField("former", ex.incarnation).
 		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil-resp.Clock).Milliseconds()).
 		WithField("cause", resp.Cause).Warn("executor restarted")
 	runs := ex.sortedRuns()
 	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
-		return listed[r.key] || !r.confirmedAt.IsZero() && !r.confirmedAt.Before(sent) || r.confirmedAt.IsZero() && !r.mayStartLate
+		if r.confirmedAt.IsZero() {
+			return listed[r.key] || !r.mayStartLate
+		}
+		return listed[r.key] || r.incarnation == 0 && !r.confirmedAt.Before(sent)
 	})
 	c.recordCrash(now, ex, lost, "executor restarted")
 	ex.incarnation, ex.incarnationSince = resp.Incarnation, now
@@ -438,7 +436,7 @@
 	r := &run{
 		job: j, step: st, task: listed.Task, number: listed.Number, ex: ex, key: runKey(listed.Task, listed.Number),
 		confirmedAt: now, confirmedClock: ex.clock, startedAt: now, percent: listed.Percent, metric: listed.Metric, cpuPercent: fullCPUPercent,
-		progressClock: ex.clock, progressKnown: true,
+		progressClock: ex.clock, progressKnown: true, incarnation: ex.incarnation,
 	}
 	c.attach(r)
 	st.removePending(listed.Task.Index)
