Find calls that act in the next incarnation of an executor by random faults

Three things were missing. A call to an executor that is down failed, while a real one on a connection that is opened meanwhile reaches the next incarnation. Few long tasks began between restart and partition. The next change of the owner or outage of the store, less than a second later, kept the second run from starting before the first ended.

Orders that are carried out late also run in a partition. A poll whose executor restarts gets no response; it got the list of the next incarnation before.

A job that ended more than 180 s before the final check may be dropped now. Jobs get 90 s to end instead of 60 s: drains and partitions last 20 s, and a task of up to 20 s that is lost and fails takes three runs.

--- a/internal/cell/faults_test.go
+++ b/internal/cell/faults_test.go
@@ -16,6 +16,9 @@
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
+// endedJobRetention is how long owners keep ended jobs.
+const endedJobRetention = 180 * time.Second
+
 // defaultSeeds is the number of seeds unless DAISYRACK_SEEDS is set.
 const defaultSeeds = 60
 
@@ -46,10 +49,41 @@
 // runFaults runs one seed and returns the number of completed jobs.
 func runFaults(t *testing.T, seed uint64, deadlyShare float64) int {
 	sim := newSimulation(t, seed, 6)
-	if seed%3 == 1 {
+	replies := sim.runFaults(deadlyShare)
+	sim.expectNoViolations()
+	sim.expectBoundedCrashes()
+	sim.expectBlameOnCrashesOnly()
+	last := sim.owners[len(sim.owners)-1]
+	completed := 0
+	for i := range len(replies) {
+		id := fmt.Sprintf("j%d", i)
+		r := last.core.State(id)
+		if ended, ok := sim.endedAt[id]; ok && r.Outcome == cell.Absent && sim.now.Sub(ended) > endedJobRetention {
+			continue // its final state was stored, and has been dropped since
+		}
+		accepted := replies[id].Outcome == cell.Accepted || r.Outcome == cell.Found
+		if accepted && r.State != flow.Completed && r.State != flow.Failed {
+			t.Errorf("accepted job %s is not in a final state: outcome %s, state %s", id, r.Outcome, r.State)
+		}
+		if r.State == flow.Completed {
+			completed++
+		}
+	}
+	ends := int64(0)
+	for _, o := range sim.owners {
+		ends += o.core.Stats.Ends
+	}
+	assert.Assert(t, ends >= int64(completed))
+	return completed
+}
+
+// runFaults submits jobs, some with a task that crashes its executors, beside random faults. It waits for the ends of
+// the jobs and returns the replies to their submission.
+func (sim *simulation) runFaults(deadlyShare float64) map[string]*cell.Reply {
+	if sim.seed%3 == 1 {
 		sim.lostPollShare = 0.05
 	}
-	if seed%2 == 1 {
+	if sim.seed%2 == 1 {
 		sim.allowedShare = 0.6
 		for i := range sim.config.Queues {
 			sim.config.Queues[i].Advice = &fleet.Advice{
@@ -59,47 +93,25 @@
 	}
 	o := sim.takeOver()
 	sim.advance(time.Second)
-	jobs := 0
 	replies := make(map[string]*cell.Reply)
-	submit := func() {
-		id := fmt.Sprintf("j%d", jobs)
+	sim.submitNext = func(spec flow.Spec) {
+		id := fmt.Sprintf("j%d", len(replies))
 		if sim.arrivals.Float64() < deadlyShare {
 			sim.deadly[fleet.TaskID{Job: id}] = true
 		}
-		replies[id] = sim.submit(sim.owners[len(sim.owners)-1], id, sim.randomSpec())
-		jobs++
+		replies[id] = sim.submit(sim.owners[len(sim.owners)-1], id, spec)
 	}
 	for range 30 {
 		for range 1 + sim.rng.IntN(3) {
-			submit()
+			sim.submitNext(sim.randomSpec())
 		}
 		o = sim.injectFault(o)
 		sim.advance(time.Duration(100+sim.rng.IntN(900)) * time.Millisecond)
 	}
 	sim.clearFaults(o)
-	sim.advance(60 * time.Second)
-	sim.expectNoViolations()
-	sim.expectBoundedCrashes()
-	sim.expectBlameOnCrashesOnly()
-	last := sim.owners[len(sim.owners)-1]
-	completed := 0
-	for i := range jobs {
-		id := fmt.Sprintf("j%d", i)
-		r := last.core.State(id)
-		accepted := replies[id].Outcome == cell.Accepted || r.Outcome == cell.Found
-		if accepted && r.State != flow.Completed && r.State != flow.Failed {
-			t.Errorf("accepted job %s is not in a final state: outcome %s, state %s", id, r.Outcome, r.State)
-		}
-		if r.State == flow.Completed {
-			completed++
-		}
-	}
-	ends := int64(0)
-	for _, o := range sim.owners {
-		ends += o.core.Stats.Ends
-	}
-	assert.Assert(t, ends >= int64(completed))
-	return completed
+	// The last drains and partitions end within 20 s; then a task of up to 20 s may need three runs.
+	sim.advance(90 * time.Second)
+	return replies
 }
 
 func (sim *simulation) randomSpec() flow.Spec {
@@ -129,7 +141,7 @@
 func (sim *simulation) injectFault(o *owner) *owner {
 	all := slices.DeleteFunc(sim.sortedExecutors(), func(x *fakeExecutor) bool { return x.replaced })
 	x := all[sim.rng.IntN(len(all))]
-	switch sim.rng.IntN(12) {
+	switch sim.rng.IntN(13) {
 	case 0: // the owner is killed
 		o.dead = true
 		return sim.takeOver()
@@ -194,27 +206,8 @@
 		sim.schedule(time.Duration(300+sim.rng.IntN(4000))*time.Millisecond, func() {
 			sim.storeRefuses, sim.storeDisruptedAt = false, sim.now
 		})
-	case 9, 10: // an executor restarts and is partitioned soon after; the owner may be killed in between
-		if x.down || x.partitioned {
-			return o
-		}
-		x.down = true
-		x.loseRuns(sim)
-		back := time.Duration(200+sim.rng.IntN(1200)) * time.Millisecond
-		cut := back + time.Duration(sim.rng.IntN(2500))*time.Millisecond
-		sim.schedule(back, func() {
-			if !x.replaced {
-				x.restart(sim)
-				sim.relist(x)
-			}
-		})
-		sim.schedule(cut, func() { x.partitioned = true })
-		sim.schedule(cut+time.Duration(3000+sim.rng.IntN(10000))*time.Millisecond, func() { x.partitioned = false })
-		if sim.rng.IntN(2) == 0 {
-			sim.advance(back + time.Duration(sim.rng.Int64N(int64(cut-back)+1)))
-			o.dead = true
-			return sim.takeOver()
-		}
+	case 9, 10, 11: // an executor or a failure domain restarts and is partitioned soon after
+		return sim.restartSoonCut(o, x)
 	case 6: // an executor temporarily loses its entry
 		x.unlisted = true
 		sim.owners[len(sim.owners)-1].core.RemoveExecutor(sim.now, x.ID)
--- a/internal/cell/lookup_test.go
+++ b/internal/cell/lookup_test.go
@@ -59,24 +59,33 @@
 		return
 	}
 	poll, sent := p.watch.Next(sim.now), sim.now
-	sim.schedule(messageDelay, func() {
-		x := sim.execs[p.id]
-		if !p.owner.reaches(x) || x.replaced || poll.Epoch < x.maxEpoch {
-			p.respond(sent, poll)
-			return
+	c := &call{owner: p.owner, id: p.id, epoch: poll.Epoch, timeout: poll.Timeout}
+	if poll.LeaseEnd > 0 || poll.AckedSequence > 0 {
+		c.incarnation = poll.Incarnation
+	}
+	c.fail = func(bool) {
+		resp := fleet.Response{Status: fleet.NoResponse}
+		if sim.execs[p.id].refuses {
+			resp.Cause = "connection refused"
 		}
-		x.maxEpoch = poll.Epoch
-		if bound := poll.LeaseEnd > 0 || poll.AckedSequence > 0; bound && poll.Incarnation != 0 && poll.Incarnation != x.incarnation {
-			p.respond(sent, poll) // the lease and the acknowledgment are not sent to another incarnation
+		p.handle(sent, poll, resp, messageDelay)
+	}
+	// The lease and the acknowledgment are not sent to another incarnation.
+	c.misdirected = func(x *fakeExecutor) { p.respond(sent, poll, x.incarnation) }
+	c.execute = func(x *fakeExecutor) {
+		connectedTo := x.incarnation
+		if x.replaced || poll.Epoch < x.maxEpoch {
+			p.respond(sent, poll, connectedTo)
 			return
 		}
+		x.maxEpoch = poll.Epoch
 		x.acknowledge(poll.AckedSequence, poll.Epoch)
 		x.extendLease(sim, poll.LeaseEnd)
 		responded := false
 		respond := func() {
 			if !responded {
 				responded = true
-				p.respond(sent, poll)
+				p.respond(sent, poll, connectedTo)
 			}
 		}
 		if poll.Wait == 0 || len(x.ends) > 0 {
@@ -85,11 +94,12 @@
 		}
 		x.heldPolls = append(x.heldPolls, respond)
 		sim.schedule(poll.Wait, respond)
-	})
+	}
+	c.send(messageDelay)
 }
 
-// respond sends the executor's response to an attempt.
-func (p *lookup) respond(sent time.Time, poll fleet.Poll) {
+// respond sends the response of an incarnation of the executor to an attempt.
+func (p *lookup) respond(sent time.Time, poll fleet.Poll, connectedTo int64) {
 	o := p.owner
 	sim := o.env
 	x := sim.execs[p.id]
@@ -101,12 +111,20 @@
 		resp.Cause = "connection refused"
 	} else if !o.reaches(x) || sim.rng.Float64() < sim.lostPollShare {
 		delay = max(poll.Timeout-sim.now.Sub(sent), 0)
+	} else if x.incarnation != connectedTo {
+		resp.Cause = "connection broken"
 	} else if poll.Epoch < x.maxEpoch {
 		resp = fleet.Response{Status: fleet.Fenced}
 	} else {
 		resp = x.listRuns(sim)
 		delay += sim.pollDelay
 	}
+	p.handle(sent, poll, resp, delay)
+}
+
+// handle gives the response to an attempt to the watch after the given time.
+func (p *lookup) handle(sent time.Time, poll fleet.Poll, resp fleet.Response, delay time.Duration) {
+	sim := p.owner.env
 	sim.schedule(delay, func() {
 		if p.done {
 			return
@@ -125,7 +143,7 @@
 			return
 		}
 		p.done = true
-		o.applyPoll(p, result)
+		p.owner.applyPoll(p, result)
 	})
 }
 
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -316,9 +316,9 @@
 	}
 	sim.sentCommands = append(sim.sentCommands, cmd)
 	delay := messageDelay + time.Duration(sim.rng.IntN(3))*time.Millisecond
-	timesOut := sim.rng.Float64() < sim.lateCommandShare
-	if timesOut {
-		delay = 2*time.Second + time.Duration(sim.rng.IntN(6000))*time.Millisecond
+	var late time.Duration
+	if sim.rng.Float64() < sim.lateCommandShare {
+		late = 2*time.Second + time.Duration(sim.rng.IntN(6000))*time.Millisecond
 	}
 	sent := sim.now
 	reply := func(resp fleet.Response) {
@@ -333,62 +333,59 @@
 			o.decide()
 		})
 	}
-	id := cmd.Executor.ID
-	received, arrives := sim.execs[id].incarnation, o.reaches(sim.execs[id])
-	sim.schedule(delay, func() {
-		x := sim.execs[id]
-		if timesOut && (!arrives || x.incarnation != received) {
-			return // the executor never received the command, or restarted before executing it
+	c := &call{owner: o, id: cmd.Executor.ID, epoch: o.core.Epoch, timeout: o.core.CommandTimeout(sim.now, cmd.Attempt)}
+	noResponse := func() {
+		sim.schedule(max(c.timeout-sim.now.Sub(sent), 0), func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+	}
+	if cmd.Start != nil {
+		c.incarnation = cmd.Start.Incarnation
+	}
+	c.fail = func(connected bool) {
+		if cmd.Start != nil && !connected && !sim.unbound {
+			reply(fleet.Response{Status: fleet.NotSent})
+			return
+		}
+		reply(fleet.Response{Status: fleet.NoResponse})
+	}
+	c.misdirected = func(x *fakeExecutor) {
+		status := fleet.Restarted
+		if c.epoch < x.maxEpoch {
+			status = fleet.Fenced
 		}
-		if sim.rejections > 0 && cmd.Start != nil && !x.down && !x.replaced {
+		sim.schedule(messageDelay, func() { reply(fleet.Response{Status: status}) })
+	}
+	c.execute = func(x *fakeExecutor) {
+		switch {
+		case sim.rejections > 0 && cmd.Start != nil && !x.replaced:
 			sim.rejections--
 			reply(fleet.Response{Status: sim.rejection})
 			x.crash(sim)
 			return
-		}
-		if x.replaced {
+		case x.replaced:
 			if cmd.Start != nil {
 				sim.misdirectedStarts[x.ID]++
 			}
 			reply(fleet.Response{Status: fleet.WrongExecutor})
 			return
-		}
-		if !o.reaches(x) {
-			if x.refuses && !timesOut {
-				reply(fleet.Response{Status: fleet.NotSent, Cause: "connection refused"})
-			} else if !timesOut {
-				sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
-			}
-			return
-		}
-		if cmd.Start != nil && cmd.Start.Incarnation != 0 && cmd.Start.Incarnation != x.incarnation {
-			// An open connection breaks, a new one is to another incarnation.
-			status := fleet.Restarted
-			if sim.now.UnixMilli()%2 == 0 {
-				status = fleet.NoResponse
-			}
-			sim.schedule(messageDelay, func() { reply(fleet.Response{Status: status}) })
+		case late > 0:
+			receivedBy := x.incarnation
+			sim.schedule(late, func() {
+				if x.incarnation == receivedBy && !x.down {
+					x.execute(sim, cmd)
+				}
+			})
+			noResponse()
 			return
-		}
-		if x.rejectsRetries && cmd.Start != nil && cmd.Attempt > 0 {
+		case x.rejectsRetries && cmd.Start != nil && cmd.Attempt > 0:
 			reply(fleet.Response{Status: fleet.Unavailable})
 			return
 		}
 		resp := x.execute(sim, cmd)
-		if sim.lostCommandShare > 0 && sim.rng.Float64() < sim.lostCommandShare {
-			wait := max(o.core.CommandTimeout(sim.now, cmd.Attempt)-sim.now.Sub(sent), 0)
-			sim.schedule(wait, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+		if sim.lostCommandShare > 0 && sim.rng.Float64() < sim.lostCommandShare || x.rejectsRetries && cmd.Start != nil {
+			noResponse()
 			return
 		}
-		if x.rejectsRetries && cmd.Start != nil {
-			sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
-			return
-		}
-		if !timesOut {
-			sim.schedule(messageDelay, func() { reply(resp) })
-		}
-	})
-	if timesOut {
-		sim.schedule(300*time.Millisecond, func() { reply(fleet.Response{Status: fleet.NoResponse}) })
+		sim.schedule(messageDelay, func() { reply(resp) })
 	}
+	c.send(delay)
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -27,6 +27,10 @@
 	rng  *rand.Rand
 	// arrivals determines when jobs are submitted, independently of how earlier ones are handled.
 	arrivals *rand.Rand
+	// network determines which connections calls use while an executor is not reached.
+	network *rand.Rand
+	// unbound makes the calls of owners reach whatever incarnation of an executor runs.
+	unbound  bool
 	now      time.Time
 	events   eventQueue
 	eventSeq int
@@ -93,6 +97,8 @@
 	// allowedShares holds the shares of queues for which it differs from allowedShare.
 	allowedShares map[string]float64
 	submitted     int
+	// submitNext submits one more job to the owner, if the test lets faults do so.
+	submitNext func(flow.Spec)
 	// submittedTo holds the IDs of the submitted jobs, by queue.
 	submittedTo map[string]map[string]bool
 	// failureShare is the share of runs that fail on their own.
@@ -172,9 +178,11 @@
 	// rejectsRetries makes the executor lose the responses to starts and reject their retries.
 	rejectsRetries bool
 	// replaced is set when another executor has taken the address.
-	replaced  bool
-	clockRate float64
-	failAll   bool
+	replaced bool
+	// disturbedUntil is when the last restart with a partition soon after is over.
+	disturbedUntil time.Time
+	clockRate      float64
+	failAll        bool
 	// hangs keeps all new runs from making progress.
 	hangs bool
 	// heldPolls are polls whose response is held until a run ends.
@@ -232,7 +240,8 @@
 func newSimulation(t testing.TB, seed uint64, count int) *simulation {
 	t.Helper()
 	sim := &simulation{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0),
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)),
+		network: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_700_000_000, 0),
 		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
 		failureShare: 0.02, advisers: numAdvisers,
 		history: make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -294,6 +294,9 @@
 			w.calmFrom = maxTime(w.calmFrom, sim.crashes[task][n-1].Add(crashDownTime))
 		}
 	}
+	for _, x := range sim.execs {
+		w.calmFrom = maxTime(w.calmFrom, x.disturbedUntil)
+	}
 	o := w.owner()
 	if o.dead {
 		clear(w.since)
