Tell incarnations on connections apart without their start times

The start time of a next incarnation can be the earlier one if the clock of its machine was set back. The pool then kept the dead connections and closed the live one: no call went astray, but each silent connection cost one timeout. Found by review.

TestConnectionsToOtherIncarnationsAreClosed failed before; what closes a connection makes room is tested as well.

--- a/internal/cell/lookup_test.go
+++ b/internal/cell/lookup_test.go
@@ -59,10 +59,7 @@
 		return
 	}
 	poll, sent := p.watch.Next(sim.now), sim.now
-	c := &call{owner: p.owner, id: p.id, epoch: poll.Epoch, timeout: poll.Timeout}
-	if poll.LeaseEnd > 0 || poll.AckedSequence > 0 {
-		c.incarnation = poll.Target()
-	}
+	c := &call{owner: p.owner, id: p.id, incarnation: poll.Target(), epoch: poll.Epoch, timeout: poll.Timeout}
 	c.fail = func(bool) {
 		resp := fleet.Response{Status: fleet.NoResponse}
 		if sim.execs[p.id].refuses {
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -43,13 +43,13 @@
 	open int
 }
 
-// Get returns a connection to an executor for one call, an open one if there is one. Those to the given incarnation
-// come first; Incarnation of the result may be another one or 0. The caller returns the connection with Put.
+// Get returns a connection to an executor for one call: an open one to the given incarnation, or one on which nothing
+// has responded yet, or a new one. For incarnation 0 it is any. The caller returns the connection with Put.
 func (p *Pool) Get(id, address string, incarnation int64, deadline time.Time) (*Conn, error) {
 	key := id + " " + address
 	p.mu.Lock()
 	c := p.of(key)
-	ended := c.removeEarlier(incarnation)
+	ended := c.removeOthers(incarnation)
 	c.open -= len(ended)
 	conn := c.take(incarnation)
 	full := conn == nil && c.open >= p.MaxPerExecutor
@@ -74,17 +74,21 @@
 	return &Conn{Conn: opened, key: key}, nil
 }
 
-// removeEarlier removes the idle connections to earlier incarnations, whose processes have ended.
-func (c *connections) removeEarlier(incarnation int64) []*Conn {
-	var ended []*Conn
+// removeOthers removes the idle connections to other incarnations than the given one, 0 being none, and returns them.
+// Start times do not tell which incarnation came first, since the executor's clock may have been set back.
+func (c *connections) removeOthers(incarnation int64) []*Conn {
+	if incarnation == 0 {
+		return nil
+	}
+	var others []*Conn
 	c.idle = slices.DeleteFunc(c.idle, func(conn *Conn) bool {
-		earlier := conn.Incarnation != 0 && conn.Incarnation < incarnation
-		if earlier {
-			ended = append(ended, conn)
+		other := conn.Incarnation != 0 && conn.Incarnation != incarnation
+		if other {
+			others = append(others, conn)
 		}
-		return earlier
+		return other
 	})
-	return ended
+	return others
 }
 
 // take removes an idle connection to the given incarnation, or else the most recently used one, and returns it.
@@ -109,12 +113,11 @@
 	now := time.Now()
 	p.mu.Lock()
 	c := p.of(conn.key)
-	unused := c.removeEarlier(conn.Incarnation)
+	unused := []*Conn{conn}
 	if reusable {
+		unused = c.removeOthers(conn.Incarnation)
 		conn.idleSince = now
 		c.idle = append(c.idle, conn)
-	} else {
-		unused = append(unused, conn)
 	}
 	p.closed(conn.key, len(unused))
 	unused = append(unused, p.sweep(now)...)
--- a/internal/conns/pool_test.go
+++ b/internal/conns/pool_test.go
@@ -46,19 +46,33 @@
 	assert.Equal(t, len(*opened), 3)
 }
 
-// Connections to earlier incarnations are of no use: a call on one would only time out.
-func TestConnectionsToEarlierIncarnationsAreClosed(t *testing.T) {
+// Connections to other incarnations are of no use: a call on one would only time out. The start time of the next
+// incarnation can be the earlier one.
+func TestConnectionsToOtherIncarnationsAreClosed(t *testing.T) {
+	for _, next := range []int64{2, 8} {
+		p, _ := newPool(time.Hour)
+		first, second, third := get(t, p, "x", 0), get(t, p, "x", 0), get(t, p, "x", 0)
+		first.Incarnation, second.Incarnation, third.Incarnation = 5, 5, next
+		p.Put(first, true)
+		p.Put(second, false)
+		assert.Assert(t, !isClosed(first) && isClosed(second))
+		p.Put(third, true)
+		assert.Assert(t, isClosed(first) && !isClosed(third))
+		assert.Equal(t, get(t, p, "x", next), third)
+		p.Put(third, true)
+		assert.Equal(t, get(t, p, "x", 7).Incarnation, int64(0))
+		assert.Assert(t, isClosed(third))
+	}
+}
+
+// A connection that breaks says nothing about the others.
+func TestBrokenConnectionLeavesOthersOpen(t *testing.T) {
 	p, _ := newPool(time.Hour)
-	first, second, third := get(t, p, "x", 0), get(t, p, "x", 0), get(t, p, "x", 0)
-	first.Incarnation, second.Incarnation, third.Incarnation = 1, 1, 2
-	p.Put(first, true)
-	p.Put(second, true)
-	p.Put(third, true)
-	assert.Assert(t, isClosed(first) && isClosed(second) && !isClosed(third))
-	assert.Equal(t, get(t, p, "x", 1), third, "its response will show the later incarnation")
-	p.Put(third, true)
-	fourth := get(t, p, "x", 3)
-	assert.Assert(t, isClosed(third) && fourth.Incarnation == 0)
+	live, dead := get(t, p, "x", 0), get(t, p, "x", 0)
+	live.Incarnation, dead.Incarnation = 2, 1
+	p.Put(live, true)
+	p.Put(dead, false)
+	assert.Assert(t, !isClosed(live) && isClosed(dead))
 }
 
 // Another executor at the address, or another address of the executor, is another process.
@@ -88,6 +102,31 @@
 	get(t, p, "x", 0)
 }
 
+// Guards against a pool that opens no more connections: each one that is closed makes room, whatever closes it.
+func TestClosedConnectionsMakeRoom(t *testing.T) {
+	for name, closing := range map[string]func(p *conns.Pool, all []*conns.Conn){
+		"broken":            func(*conns.Pool, []*conns.Conn) {},
+		"other incarnation": func(p *conns.Pool, all []*conns.Conn) { all[2].Incarnation = 9; p.Put(all[2], true) },
+		"call for another":  func(p *conns.Pool, all []*conns.Conn) { p.Put(all[2], true) },
+		"idle":              func(p *conns.Pool, _ []*conns.Conn) { p.IdleTimeout = time.Nanosecond; p.Put(get(t, p, "y", 0), true) },
+	} {
+		p, opened := newPool(time.Hour)
+		p.Put(get(t, p, "y", 0), true) // the first call sweeps
+		all := []*conns.Conn{get(t, p, "x", 0), get(t, p, "x", 0), get(t, p, "x", 0)}
+		for _, c := range all[:2] {
+			c.Incarnation = 5
+			p.Put(c, name != "broken")
+		}
+		closing(p, all)
+		wanted := int64(9)
+		for range 2 {
+			_, err := p.Get("x", "a", wanted, time.Time{})
+			assert.NilError(t, err, name)
+		}
+		assert.Assert(t, len(*opened) <= 6, name)
+	}
+}
+
 // Connections that are not used are closed in the end.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	p, opened := newPool(time.Nanosecond)
