Use no relays of former versions, which do not tell incarnations apart

A relay of a former version sends a start or a lease to whatever incarnation of an executor responds, so that a task can run twice while versions are mixed. Followers now say that they tell incarnations apart, and others are not used as relays. Found by review.

TestFormerVersionIsNoRelay failed before.

--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -268,6 +268,7 @@
 	h.followers[f.GetName()] = &follower{
 		name: f.GetName(), address: f.GetAddress(), domain: f.GetFailureDomain(), weight: f.GetWeight(),
 		lastCall: time.Now(), leaving: f.GetLeaving(), readsPlaces: f.GetReadsPlaces(),
+		tellsIncarnations: f.GetTellsIncarnations(),
 	}
 }
 
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -103,7 +103,7 @@
 	return &wire.Follow{
 		Name: h.Name, Address: h.Address, FailureDomain: h.Domain, ConfigVersion: version,
 		Weight: h.Weight, Leaving: h.leaving, AtOnce: noHold, Stream: stream, FollowersHash: h.candidatesHash,
-		ReadsPlaces: true,
+		ReadsPlaces: true, TellsIncarnations: true,
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -144,8 +144,8 @@
 	weight   int64
 	lastCall time.Time
 	leaving  bool
-	// readsPlaces is the field of wire.Follow.
-	readsPlaces bool
+	// readsPlaces and tellsIncarnations are the fields of wire.Follow.
+	readsPlaces, tellsIncarnations bool
 }
 
 // Init initializes the host. It must be called before all other methods.
--- a/internal/host/relays.go
+++ b/internal/host/relays.go
@@ -26,7 +26,7 @@
 	defer h.mu.Unlock()
 	var out []relay.Candidate
 	for _, f := range h.liveFollowers().followers {
-		out = append(out, relay.Candidate{Address: f.address, Domain: f.domain, Weight: f.weight})
+		out = append(out, relay.Candidate{Address: f.address, Domain: f.domain, Weight: f.weight, TellsIncarnations: f.tellsIncarnations})
 	}
 	return out
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -107,6 +107,8 @@
 type fakeRelay struct {
 	recorder
 	domain string
+	// former is set for an instance of a former version.
+	former bool
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -159,7 +161,7 @@
 		Candidates: func() []relay.Candidate {
 			var out []relay.Candidate
 			for address, x := range relays {
-				out = append(out, relay.Candidate{Address: address, Domain: x.domain, Weight: 800})
+				out = append(out, relay.Candidate{Address: address, Domain: x.domain, Weight: 800, TellsIncarnations: !x.former})
 			}
 			return out
 		},
@@ -227,6 +229,16 @@
 	assert.Equal(t, relays["ra"].pollCount()+relays["rb"].pollCount(), 0)
 }
 
+// Guards against tasks that run twice: a relay of a former version sends calls to the next incarnation of an executor.
+func TestFormerVersionIsNoRelay(t *testing.T) {
+	direct, relays := &recorder{}, twoRelays()
+	relays["rb"].former = true
+	s := newSender(t, direct, relays)
+	useRelays(t, s, direct)
+	assert.Assert(t, relays["ra"].pollCount() > 0)
+	assert.Equal(t, relays["rb"].pollCount(), 0)
+}
+
 // Calls to a large fleet go through a relay in the failure domain of the executor, so that a cut
 // between domains does not break calls within them.
 func TestRelayIsInDomainOfExecutor(t *testing.T) {
@@ -436,7 +448,9 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	s := &relay.Sender{
 		Log: logger, Executors: direct.caller(),
-		Candidates: func() []relay.Candidate { return []relay.Candidate{{Address: "r", Weight: 800}} },
+		Candidates: func() []relay.Candidate {
+			return []relay.Candidate{{Address: "r", Weight: 800, TellsIncarnations: true}}
+		},
 		Open: func(context.Context, string, *wire.RelayOpen) (*peer.Stream, error) {
 			return nil, errors.New("unreachable")
 		},
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -49,6 +49,9 @@
 	// Weight is the smaller of its processor, in thousandths of a core, and its network link in the same
 	// unit.
 	Weight int64
+	// TellsIncarnations is not set on an instance of a former version, which would send calls to the next
+	// incarnation of an executor. It is not used.
+	TellsIncarnations bool
 }
 
 // chooseRelays returns the instances to use as relays for a number of executors, spread evenly over
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -193,7 +193,7 @@
 	}
 	usable := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if now.After(s.backoff[c.Address]) {
+		if c.TellsIncarnations && now.After(s.backoff[c.Address]) {
 			usable = append(usable, c)
 		}
 	}
