--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -93,8 +93,8 @@
 	// Undelivered means that the instance that makes the call did not return a result in time, which says
 	// nothing about the executor.
 	Undelivered
-	// NotSent means that no connection to the executor could be opened: no process listens at its address, or
-	// the address cannot be reached.
+	// NotSent means that there was no connection for the call: none could be opened, or nothing responded on the
+	// one that was.
 	NotSent
 	// Restarted means that another incarnation of the executor responds: the command was not sent to it.
 	Restarted
