Give up runs only if no successor can have extended their lease

What callers saw: a task ran on two executors at the same time (TWICE, in the emulation only): an owner is cut off from the store and from an executor. Another instance takes over, claims the executor and extends its lease. The former owner takes the lease for expired and starts the tasks on executors that the successor does not reach.

Cause: an owner may start tasks for 4.5 s after the last confirmation of its ownership, and a successor can exist after 0.7 s. A draining executor has a lease of 3 s, and any other may have been silent for seconds when the owner is cut off.

Change: a lease that expires 0.7 s or more after the last confirmation was sent counts as expired only once a later confirmation has come. Until then no successor can have extended it. The same holds for the leases of earlier owners on executors that were not reached. Runs are given up later only while commits get no response.

--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/ledger"
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
@@ -391,7 +392,7 @@
 		c.dropExecutor(ex)
 		return
 	}
-	if now.Before(ex.leaseExpiry()) || now.Before(c.priorLeasesExpiry()) {
+	if !c.hasExpired(now, ex.leaseExpiry()) || !c.hasExpired(now, c.priorLeasesExpiry()) {
 		return
 	}
 	if len(ex.runs) > 0 {
@@ -452,6 +453,14 @@
 	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.key, b.key) })
 }
 
+// hasExpired reports whether leases have expired that this owner and earlier ones have granted up to the given time, and
+// no successor can have extended them before. Otherwise runs that are given up may go on under the successor.
+func (c *Core) hasExpired(now, expiry time.Time) bool {
+	// Only the wall clock counts the time in which the machine was suspended.
+	suspended := max(now.Round(0).Sub(c.confirmedWall)-now.Sub(c.confirmedAt), 0)
+	return !now.Before(expiry) && expiry.Sub(c.confirmedAt)+suspended < ledger.StaleAfter
+}
+
 // priorLeasesExpiry returns when all leases granted by earlier owners have expired.
 func (c *Core) priorLeasesExpiry() time.Time {
 	return c.TakeoverAt.Add(time.Duration(float64(c.Lease)/(1-clockDrift)) + leaseExpiryMargin)
--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +70,12 @@
 	}
 }
 
+// executorWithRuns returns the executor that runs tasks, of which there is one.
+func (sim *simulation) executorWithRuns() *fakeExecutor {
+	all := sim.sortedExecutors()
+	return all[slices.IndexFunc(all, func(x *fakeExecutor) bool { return len(x.runs) > 0 })]
+}
+
 // Guards against a task that runs twice: a new owner gives a draining executor a shorter lease than the former owner,
 // which stays in force.
 func TestNewOwnerAwaitsLeaseOfFormerOwnerOnDrainingExecutor(t *testing.T) {
@@ -76,12 +83,7 @@
 	sim.failureShare = 0
 	sim.submit(o, "a", singleStep(testQueue, 1, 30*time.Second))
 	sim.advance(2 * time.Second)
-	var x *fakeExecutor
-	for _, other := range sim.sortedExecutors() {
-		if len(other.runs) > 0 {
-			x = other
-		}
-	}
+	x := sim.executorWithRuns()
 	x.Draining, x.MinRemaining = true, 20*time.Second
 	o.dead = true
 	next := sim.takeOver()
@@ -91,3 +93,31 @@
 	sim.expectNoViolations()
 	assert.Equal(t, next.core.Stats.Starts, int64(1), "the task was not started again")
 }
+
+// Guards against a task that runs twice: an owner that is cut off from the store, and from an executor, gives up the runs
+// there while a successor has claimed the executor and extends its lease.
+func TestCutOffOwnerDoesNotRestartRunsOfExecutorOfSuccessor(t *testing.T) {
+	for name, draining := range map[string]bool{"draining": true, "silent before": false} {
+		t.Run(name, func(t *testing.T) {
+			sim, o := newIdleCell(t, 4)
+			sim.failureShare = 0
+			sim.submit(o, "a", singleStep(testQueue, 1, 30*time.Second))
+			sim.advance(2 * time.Second)
+			x := sim.executorWithRuns()
+			o.unreachable[x.ID] = !draining
+			if draining {
+				x.Draining, x.MinRemaining = true, 20*time.Second
+				sim.relist(x)
+			}
+			sim.advance(4 * time.Second)
+			o.storeUnreachable = true
+			next := sim.takeOver()
+			for _, other := range sim.sortedExecutors() {
+				o.unreachable[other.ID], next.unreachable[other.ID] = other == x, other != x
+			}
+			sim.advance(6 * time.Second)
+			sim.expectNoViolations()
+			assert.Assert(t, len(x.runs) > 0)
+		})
+	}
+}
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -49,7 +49,7 @@
 	if c.blocked == nil {
 		return
 	}
-	expired := !now.Before(c.priorLeasesExpiry())
+	expired := c.hasExpired(now, c.priorLeasesExpiry())
 	if !expired && now.Sub(c.TakeoverAt) < concurrentUnblockAfter {
 		return
 	}
