Count a crash also for runs that were confirmed during the poll

What callers would see: a task that crashes its executors is started more often than allowed (BUDGET), and its crashes count as those of others.

Cause: a run whose start was confirmed while the poll was in flight that shows the restart could belong to the new incarnation, so that it was left out of the crash. After a silent crash that poll began up to a second before.

Change: a start reaches one incarnation only, so that such a run was on the former one, unless the list names it.

TestCrashCountsForRunConfirmedDuringThePoll failed before.

--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -392,3 +392,20 @@
 		assert.Equal(t, o.core.Stats.Lost, int64(1))
 	}
 }
+
+// Guards against a task that crashes one executor after another: the crash counts also if the start was confirmed while
+// the poll was in flight that shows the restart. A start reaches one incarnation only, so that the run was on the former.
+func TestCrashCountsForRunConfirmedDuringThePoll(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	sent := o.now
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.core.ApplyCommandResponse(o.now, start, fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Hour})
+	o.now = o.now.Add(100 * time.Millisecond)
+	o.core.ApplyPollResponse(o.now, sent, "x0", fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Second, Incarnation: 8})
+	o.now = o.now.Add(5 * time.Millisecond)
+	o.respond(8, time.Second+5*time.Millisecond)
+	onlyStart(t, o.decide())
+	assert.Equal(t, o.core.Stats.Crashes, int64(1))
+	assert.Equal(t, o.core.Stats.Trials, int64(1), "the task is no suspect")
+}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -169,18 +169,21 @@
 	c.updateCordon(ex)
 }
 
-// handleRestart marks the runs of the former incarnation of an executor as lost. Runs that are
-// listed, and runs whose start was confirmed after the poll was sent, may belong to the new
-// incarnation.
+// handleRestart marks the runs of the former incarnation of an executor as lost. Runs that are listed belong to the
+// new incarnation. Those whose start was confirmed after the poll was sent are kept until the next list: a relay of a
+// former version sends starts to any incarnation.
 func (c *Core) handleRestart(now, sent time.Time, ex *executor, resp fleet.Response, listed map[string]bool) {
 	c.Log.WithField("executor", ex.ID).WithField("life", resp.Incarnation).WithField("former", ex.incarnation).
 		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil-resp.Clock).Milliseconds()).
 		WithField("cause", resp.Cause).Warn("executor restarted")
-	runs := ex.sortedRuns()
-	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
-		return listed[r.key] || !r.confirmedAt.IsZero() && !r.confirmedAt.Before(sent) || r.confirmedAt.IsZero() && !r.mayStartLate
+	gone := slices.DeleteFunc(ex.sortedRuns(), func(r *run) bool {
+		return listed[r.key] || r.confirmedAt.IsZero() && !r.mayStartLate
 	})
-	c.recordCrash(now, ex, lost, "executor restarted")
+	confirmedSince := func(r *run) bool { return !r.confirmedAt.IsZero() && !r.confirmedAt.Before(sent) }
+	// A start reaches one incarnation only, so that runs which were confirmed since were on the former one as well. A
+	// stop that the next one has executed confirms a run that may not have been there.
+	c.recordCrash(now, ex, slices.DeleteFunc(slices.Clone(gone), func(r *run) bool { return r.stopping && confirmedSince(r) }), "executor restarted")
+	lost := slices.DeleteFunc(gone, confirmedSince)
 	ex.incarnation, ex.incarnationSince = resp.Incarnation, now
 	ex.clock, ex.leaseUntil, ex.clockAt = 0, 0, now
 	ex.appliedSequence, ex.ackedSequence, ex.unackedEnds = 0, 0, nil
