--- a/internal/cell/incarnation_test.go
+++ b/internal/cell/incarnation_test.go
@@ -393,6 +393,21 @@
 	}
 }
 
+// Guards against a task that waits for the entry of its executor, which has started again meanwhile: nothing was sent.
+func TestHeldStartThatWasNotSentIsGivenBack(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	o.submit("a", 1, 2000)
+	start := onlyStart(t, o.decide())
+	o.core.EntryValidity = time.Second
+	o.now = o.now.Add(2 * time.Second)
+	assert.Assert(t, o.core.DiscardUnwanted(o.now, start))
+	o.respond(8, time.Second)
+	assert.Assert(t, o.core.DiscardUnwanted(o.now, onlyStart(t, o.core.TakeCommands())))
+	assert.Equal(t, len(o.core.TakeCommands()), 0, "a run that never was is stopped")
+	o.core.EntryValidity = 0
+	assert.Equal(t, onlyStart(t, o.decide()).Start.Incarnation, int64(8))
+}
+
 // Guards against a task that crashes one executor after another: the crash counts also if the start was confirmed while
 // the poll was in flight that shows the restart. A start reaches one incarnation only, so that the run was on the former.
 func TestCrashCountsForRunConfirmedDuringThePoll(t *testing.T) {
@@ -409,3 +424,18 @@
 	assert.Equal(t, o.core.Stats.Crashes, int64(1))
 	assert.Equal(t, o.core.Stats.Trials, int64(1), "the task is no suspect")
 }
+
+// Guards against an executor that seems to go back to its former incarnation: responses on different connections may
+// overtake each other.
+func TestLateListOfFormerIncarnationIsIgnored(t *testing.T) {
+	o := newSoleOwner(t, nil)
+	sent := o.now
+	o.respond(8, time.Second)
+	o.now = o.now.Add(100 * time.Millisecond)
+	o.core.ApplyPollResponse(o.now, sent, "x0", fleet.Response{
+		Status: fleet.Executed, HasClock: true, Clock: time.Hour, Incarnation: 7, Runs: []fleet.Run{{Task: fleet.TaskID{Job: "z"}, Number: 1}},
+	})
+	_, poll, _ := o.core.NextPoll(o.now, "x0")
+	assert.Equal(t, poll.Incarnation, int64(8))
+	assert.Equal(t, len(o.core.TakeCommands()), 0)
+}
