--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -172,8 +172,7 @@
 	c.Log.WithField("executor", ex.ID).WithField("life", resp.Incarnation).WithField("former", ex.incarnation).
 		WithField("runs", len(ex.runs)).WithField("lease_left_ms", (ex.leaseUntil-resp.Clock).Milliseconds()).
 		WithField("cause", resp.Cause).Warn("executor restarted")
-	runs := ex.sortedRuns()
-	lost := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
+	lost := slices.DeleteFunc(ex.sortedRuns(), func(r *run) bool {
 		if r.confirmedAt.IsZero() {
 			return listed[r.key] || !r.mayStartLate
 		}
