Tell the next owner of leases on executors that do not respond

Each further hand-over prolongs the wait.

Cause: a new owner counts the leases of earlier owners on executors that it does not reach from its own takeover. Only the former owner knows that it has granted none for seconds, and it told nobody.

Change: the reply that ends the stream of a follower names when the leases have expired of executors that did not respond, or that are gone but recorded for a job, by the store's clock and never too early. The next owner uses these times if the owner's row names the epoch that has ended. Executors that are not named are assumed to hold a lease up to the takeover, as before. No commit is added.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -49,6 +49,9 @@
 	// TakeoverAt is when this instance became the owner.
 	TakeoverAt time.Time
 
+	// PriorLeases is when the leases of earlier owners have expired, by executor, as far as the former owner has told.
+	PriorLeases map[string]time.Time
+
 	Log log.Interface
 
 	// Pace measures how far the loop that calls the core is behind.
@@ -101,6 +104,9 @@
 	// blocked holds, by executor, the steps whose tasks an earlier owner may have started there.
 	// They wait until the executor is claimed.
 	blocked map[string][]*stepState
+	// priorLeaseEnded holds the executors on which all leases of earlier owners have expired, among those that steps
+	// have waited for.
+	priorLeaseEnded map[string]bool
 
 	// confirmedAt is when the last successful commit or read that confirmed ownership was sent.
 	confirmedAt time.Time
@@ -318,6 +324,7 @@
 	c.executors = make(map[string]*executor)
 	c.scheduled = make(map[string]*job)
 	c.blocked = make(map[string][]*stepState)
+	c.priorLeaseEnded = make(map[string]bool)
 	c.notRestored = make(map[string]bool)
 	c.pendingJobs = make(map[string]int64)
 	c.allowedShares = make(map[string]*allowedShare)
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -102,14 +102,21 @@
 	Advisers      func() []string
 	RequestAdvice func(ctx context.Context, adviser string, req *AdviceRequest) ([]fleet.Ticket, time.Duration, error)
 
+	// PriorLeases is when the leases have expired of executors that did not respond to the former owner, by the store's
+	// clock, if that owner has told.
+	PriorLeases map[string]time.Duration
+
 	// FormerFollowers reports whether an instance of a former version may take over. It may be nil.
 	FormerFollowers func() bool
 
 	// OnTakeover is called when the owner's row names this instance. It may be nil.
 	OnTakeover func(epoch int64)
 
-	core   *Core
-	events chan event
+	core *Core
+	// reading is the last reading of the store's clock, and leases what Leases returns.
+	reading ledger.ClockReading
+	leases  map[string]time.Duration
+	events  chan event
 	// commits are the results of commits, without which the ownership is not renewed and no caller gets
 	// an answer; ends are responses with ended runs, which later steps wait for. Both are handled before
 	// other events, commits first.
@@ -189,6 +196,7 @@
 	}
 	d.spawn(func() { d.watch(ctx) })
 	err := d.loop(ctx)
+	d.leases = d.leasesByStoreClock()
 	d.Log.WithField("epoch", d.core.Epoch).WithField("jobs", len(d.core.jobs)).WithField("open_jobs", d.core.openJobs()).
 		WithField("unstored_jobs", len(d.core.writes.newJobs)).WithField("committing", d.committing).Info("cell given up")
 	return err
@@ -205,7 +213,10 @@
 		d.OnTakeover(epoch)
 	}
 	now := d.Ledger.Now()
-	d.core = &Core{Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, Log: d.Log}
+	d.reading = d.Ledger.Reading()
+	d.core = &Core{
+		Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, PriorLeases: d.priorLeases(), Log: d.Log,
+	}
 	d.config = d.Config()
 	d.core.Init(d.config, sent)
 	d.renewedAt = now
@@ -232,7 +243,7 @@
 	d.core.Restore(d.Ledger.Now(), Rows{Jobs: rows[0], Progress: rows[1], Places: rows[2], Ends: rows[3]})
 	d.Log.WithField("epoch", epoch).WithField("jobs", len(d.core.jobs)).WithField("open_jobs", d.core.openJobs()).
 		WithField("rows", len(rows[0])+len(rows[1])+len(rows[2])+len(rows[3])).
-		WithField("unclaimed_executors", len(d.core.blocked)).
+		WithField("unclaimed_executors", len(d.core.blocked)).WithField("prior_leases", len(d.core.PriorLeases)).
 		WithField("took_ms", d.Ledger.Now().Sub(sent).Milliseconds()).Info("cell taken over")
 	return nil
 }
@@ -352,6 +363,7 @@
 		sent, err := d.Ledger.Commit(ctx, b.Puts, b.Deletes)
 		d.postEarly(d.commits, func(now time.Time) {
 			d.committing = false
+			d.reading = d.Ledger.Reading()
 			d.observeCommit(now.Sub(d.renewedAt), b)
 			if errors.Is(err, ledger.ErrInvalid) {
 				d.core.ConfirmOwnership(sent)
--- a/internal/cell/lease.go
+++ b/internal/cell/lease.go
@@ -49,7 +49,7 @@
 		c.dropExecutor(ex)
 		return
 	}
-	if !c.hasExpired(now, ex.leaseExpiry()) || !c.hasExpired(now, c.priorLeasesExpiry()) {
+	if !c.hasExpired(now, ex.leaseExpiry()) || !c.hasExpired(now, c.priorLeaseExpiry(ex.ID)) {
 		return
 	}
 	if len(ex.runs) > 0 {
@@ -79,7 +79,7 @@
 	return !now.Before(expiry) && expiry.Sub(c.confirmedAt)+suspended < ledger.StaleAfter
 }
 
-// priorLeasesExpiry returns when all leases granted by earlier owners have expired.
+// priorLeasesExpiry returns when all leases granted by earlier owners have expired, whatever the former owner has told.
 func (c *Core) priorLeasesExpiry() time.Time {
 	return c.TakeoverAt.Add(time.Duration(float64(c.Lease)/(1-clockDrift)) + leaseExpiryMargin)
 }
@@ -87,7 +87,7 @@
 // dropUnclaimed drops an executor that left the instance list before this owner reached it, once
 // all leases of earlier owners have expired.
 func (c *Core) dropUnclaimed(now time.Time, ex *executor) {
-	if !ex.listed && now.After(c.priorLeasesExpiry()) {
+	if !ex.listed && now.After(c.priorLeaseExpiry(ex.ID)) {
 		c.recordCrash(now, ex, nil, "left the instance list without responding")
 		c.dropExecutor(ex)
 	}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -37,14 +37,22 @@
 }
 
 // takeOver starts a new owner, which restores the stored rows and claims the executors.
-func (sim *simulation) takeOver() *owner {
+func (sim *simulation) takeOver() *owner { return sim.takeOverKnowing(nil) }
+
+// handOver ends the term of an owner as planned, and starts the next one, which knows what the former one tells it.
+func (sim *simulation) handOver(o *owner) *owner {
+	o.dead = true
+	return sim.takeOverKnowing(o.core.Leases())
+}
+
+func (sim *simulation) takeOverKnowing(leases map[string]time.Time) *owner {
 	sim.storeEpoch++
 	logger := &log.Logger{Handler: log.HandlerFunc(sim.logEntry), Level: log.WarnLevel}
 	if tracing() {
 		logger.Level = log.DebugLevel
 	}
 	o := &owner{env: sim, unreachable: make(map[string]bool), polling: make(map[string]bool), toldRuns: make(map[string]*relay.Told), pollingTwice: make(map[string]bool)}
-	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, EntryValidity: entryValidity, TakeoverAt: sim.now, Log: logger}
+	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, EntryValidity: entryValidity, TakeoverAt: sim.now, PriorLeases: leases, Log: logger}
 	o.core.Init(sim.config, sim.now)
 	o.core.Restore(sim.now, cell.Rows{
 		Jobs: sim.scan(ledger.JobPrefix), Progress: sim.scan(ledger.ProgressPrefix),
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -16,7 +16,7 @@
 		return
 	}
 	for _, id := range st.job.Executors() {
-		if c.blocked == nil {
+		if c.blocked == nil || c.priorLeaseEnded[id] {
 			continue // all leases of earlier owners have expired
 		}
 		if ex := c.executors[id]; ex == nil || !ex.runsKnown {
@@ -49,15 +49,21 @@
 	if c.blocked == nil {
 		return
 	}
-	expired := c.hasExpired(now, c.priorLeasesExpiry())
-	if !expired && now.Sub(c.TakeoverAt) < concurrentUnblockAfter {
+	waited := now.Sub(c.TakeoverAt) >= concurrentUnblockAfter
+	if !waited && len(c.PriorLeases) == 0 {
 		return
 	}
-	unreached := len(c.blocked)
-	steps := 0
+	unreached, steps, anyEnded := len(c.blocked), 0, false
 	for _, id := range c.blockingExecutors() {
+		ended := c.hasExpired(now, c.priorLeaseExpiry(id))
+		if !ended && !waited {
+			continue
+		}
+		if ended {
+			anyEnded, c.priorLeaseEnded[id] = true, true
+		}
 		c.blocked[id] = slices.DeleteFunc(c.blocked[id], func(st *stepState) bool {
-			if !expired && !st.spec.AllowConcurrentRuns {
+			if !ended && !st.spec.AllowConcurrentRuns {
 				return false
 			}
 			steps++
@@ -73,10 +79,10 @@
 	}
 	if steps > 0 {
 		c.Log.WithField("after_ms", now.Sub(c.TakeoverAt).Milliseconds()).WithField("unreached", unreached).
-			WithField("steps", steps).WithField("leases_ended", expired).
+			WithField("steps", steps).WithField("leases_ended", anyEnded).
 			Info("unblocked steps waiting for unresponsive executors of earlier owners")
 	}
-	if expired {
+	if c.hasExpired(now, c.priorLeasesExpiry()) {
 		c.confirmCrashesOfGone()
 		c.blocked = nil
 	}
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -114,9 +114,11 @@
 }
 
 // changeOwner replaces the owner, which is killed, at once or for some time without a successor, or does not know yet that
-// another instance has taken over, or is stopped and goes on afterwards.
+// another instance has taken over, or is stopped and goes on afterwards, or hands the cell over.
 func (sim *simulation) changeOwner(o *owner) *owner {
-	switch sim.rng.IntN(4) {
+	switch sim.rng.IntN(5) {
+	case 4:
+		return sim.handOver(o)
 	case 0:
 		o.dead = true
 	case 1:
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -238,7 +238,7 @@
 		sleepDuringTerm(ctx, d, followHoldTime)
 	}
 	if h.driver.Load() != d {
-		return &wire.FollowReply{Resigned: true}
+		return resigned(d)
 	}
 	return h.followReply(d, f)
 }
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -111,6 +111,7 @@
 			if h.shouldLog(owner + " resigned") {
 				h.Log.WithField("owner", owner).WithField("resigned", reply.GetResigned()).Info("former owner no longer owns the cell")
 			}
+			h.recordHandover(reply)
 			return true, true
 		case connectionRefused(err):
 			if h.shouldLog(owner + " gone") {
@@ -393,7 +394,7 @@
 	leaveRequested := h.leaveRequested
 	h.mu.Unlock()
 	d := h.NewDriver()
-	d.Config = h.Config
+	d.Config, d.PriorLeases = h.Config, h.handedOver(previous.Record.GetEpoch())
 	d.Advisers, d.FormerFollowers = h.advisers, h.hasFormerFollowers
 	d.RequestAdvice = h.requestAdvice
 	sender := h.newSender()
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -153,8 +153,7 @@
 		f.FollowersHash = reply.GetFollowersHash()
 		f = h.awaitReport(ctx, d, f, reports)
 		if h.driver.Load() != d || isClosed(d.Done()) {
-			resigned := &wire.FollowReply{Resigned: true}
-			_ = stream.Send(&wire.Response{Body: &wire.Response_Follow{Follow: resigned}}, ownerTimeout) // the term has ended in any case
+			_ = stream.Send(&wire.Response{Body: &wire.Response_Follow{Follow: resigned(d)}}, ownerTimeout) // the term has ended in any case
 			return
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -100,6 +100,8 @@
 
 	// lastLogged is the last event that Run logged about a former owner.
 	lastLogged string
+	// handover is what the last owner that resigned has told. It must only be used from Run.
+	handover *wire.FollowReply
 
 	mu sync.Mutex
 	// ownerAddress and ownerEpoch describe the last known owner; the address is empty if there is
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -42,10 +42,16 @@
 	// version is how often the row has been written, delay the duration of a read.
 	version int64
 	delay   time.Duration
+	// driver is that of the last term of the instance under test; inTerm is set once it reads the rows.
+	driver *cell.Driver
+	inTerm bool
 }
 
 func (r *rowStore) scan(ctx context.Context, prefix, _ string, _ int) (ledger.Page, error) {
 	if prefix != ledger.OwnerKey {
+		r.mu.Lock()
+		r.inTerm = true
+		r.mu.Unlock()
 		<-ctx.Done()
 		return ledger.Page{}, ctx.Err()
 	}
@@ -134,7 +140,13 @@
 			return []byte("policy"), 1, ctx.Err()
 		},
 	}
-	h.NewDriver = func() *cell.Driver { return &cell.Driver{Ledger: h.Ledger, Log: h.Log, Lease: time.Second} }
+	h.NewDriver = func() *cell.Driver {
+		d := &cell.Driver{Ledger: h.Ledger, Log: h.Log, Lease: time.Second}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.driver = d
+		return d
+	}
 	h.Init()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -129,10 +129,9 @@
 	commitNumber int64
 	// acquired is the store's clock at the last call to Acquire, shortTerms the number of short terms
 	// before that.
-	acquired         time.Duration
-	shortTerms       int64
-	lastStoreClock   time.Duration
-	lastStoreClockAt time.Time
+	acquired   time.Duration
+	shortTerms int64
+	reading    ClockReading
 	// mayTakeEffect is set while an attempt of a commit that was given up since may still take effect, until the
 	// version of the owner's row has changed.
 	mayTakeEffect bool
@@ -140,12 +139,12 @@
 
 // estimateStoreClock extrapolates the store's clock from its last response.
 func (l *Ledger) estimateStoreClock() time.Duration {
-	return l.lastStoreClock + l.Now().Sub(l.lastStoreClockAt)
+	return l.reading.Clock + l.Now().Sub(l.reading.Received)
 }
 
-func (l *Ledger) setStoreClock(d time.Duration) {
-	l.lastStoreClock = d
-	l.lastStoreClockAt = l.Now()
+// Reading returns the last reading of the store's clock. It must not be called during Acquire, Commit or Resign.
+func (l *Ledger) Reading() ClockReading {
+	return l.reading
 }
 
 // OwnerRow is the owner's row as read from the store.
@@ -204,7 +203,7 @@
 	l.epoch = previous.Record.GetEpoch() + 1
 	l.commitNumber = 0
 	l.mayTakeEffect = false
-	l.setStoreClock(previous.StoreClock)
+	l.reading = ClockReading{Clock: previous.StoreClock, Received: l.Now()}
 	l.acquired, l.shortTerms = previous.StoreClock, previous.shortTerms()
 	if _, err := l.Commit(ctx, nil, nil); err != nil {
 		return 0, err
@@ -278,7 +277,7 @@
 		case table.Committed:
 			l.version = res.Version
 			l.mayTakeEffect = false
-			l.setStoreClock(clock)
+			l.reading = ClockReading{Clock: clock, Sent: sent, Received: l.Now()}
 			return sent, nil
 		case table.Conflict:
 			return l.resolveConflict(ctx, sent)
@@ -368,7 +367,7 @@
 			if l.isOwnCommit(o) {
 				l.version = o.Version
 				l.mayTakeEffect = false
-				l.setStoreClock(o.StoreClock)
+				l.reading = ClockReading{Clock: o.StoreClock, Sent: sent, Received: l.Now()}
 				return sent, nil
 			}
 			return time.Time{}, errors.Wrapf(ErrLostOwnership, "owner of epoch %d is %q", o.Record.GetEpoch(), o.Record.GetHolder())
