Count the reserve for urgent work and its use by service

Cause: the CPU that is reserved for urgent work, and the CPU that other work uses, were totals over the executors of all services. The larger pool's batch work used up what all other work may use.

Change: both are counted for each service. A service that no urgent queue uses reserves no minimum. The same totals decided whether a step may use executors that are kept away and whether a gang could fit; they now count by service as well.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -367,8 +367,8 @@
 
 // gangFits reports whether a gang could fit on executors that are or may be allowed.
 func (c *Core) gangFits(st *stepState, placeable, options int) bool {
-	capacity, granted := c.allocator.Totals()
-	free := capacity.CPUMillis - granted.CPUMillis
+	p := c.pool(st.queue.Service)
+	free := p.capacity - p.urgent - p.other
 	return placeable+options > 0 && free >= st.spec.Reserved().CPUMillis*int64(st.spec.Count)
 }
 
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -105,18 +105,10 @@
 			c.Log.WithField("executor", r.ex.ID).WithField("run", r.key).WithError(err).Warn("adopted run exceeds the capacity of its executor")
 		}
 	}
-	c.addGrantedCPU(r.job, need.CPUMillis)
+	c.countRun(r, 1)
 	r.step.runsOn[r.ex.ID]++
 }
 
-func (c *Core) addGrantedCPU(j *job, millis int64) {
-	if j.priority == 0 {
-		c.urgentCPU += millis
-	} else {
-		c.otherCPU += millis
-	}
-}
-
 // detach is the inverse of attach.
 func (c *Core) detach(r *run) {
 	if r.ex.runs[r.key] != r {
@@ -125,7 +117,7 @@
 	delete(r.ex.runs, r.key)
 	c.allocator.Release(r.key)
 	c.markFreed(r.ex)
-	c.addGrantedCPU(r.job, -r.spec().Reserved().CPUMillis)
+	c.countRun(r, -1)
 	r.step.runsOn[r.ex.ID]--
 	runs := r.job.runs[r.task]
 	for i := range runs {
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -82,9 +82,9 @@
 
 	// runnable holds the steps with pending tasks, in scheduling order.
 	runnable []*stepState
-	// urgentPeak is the highest recent CPU use by urgent work, in millicores, as of peakUpdatedAt.
-	urgentPeak    float64
-	peakUpdatedAt time.Time
+	// pools holds the CPU of each service; peaks in it are as of peaksUpdatedAt.
+	pools          map[string]*pool
+	peaksUpdatedAt time.Time
 	// rearRoundAt is when the present round of the steps behind the front ones began.
 	rearRoundAt time.Time
 	// freed holds the executors that may have free capacity since the last scheduling pass.
@@ -148,9 +148,7 @@
 	writes        pendingWrites
 	pendingJobs   map[string]int64
 	allowedShares map[string]*allowedShare
-	// urgentCPU and otherCPU are the CPU reserved by runs of urgent and of other queues, in millicores.
-	urgentCPU, otherCPU int64
-	Stats               Counters
+	Stats         Counters
 }
 
 // Counters count decisions and events since the takeover.
@@ -322,6 +320,7 @@
 	c.confirmedWall = confirmed.Round(0)
 	c.jobs = make(map[string]*job)
 	c.executors = make(map[string]*executor)
+	c.pools = make(map[string]*pool)
 	c.scheduled = make(map[string]*job)
 	c.blocked = make(map[string][]*stepState)
 	c.priorLeaseEnded = make(map[string]bool)
@@ -338,6 +337,9 @@
 // SetConfig applies a newer configuration.
 func (c *Core) SetConfig(now time.Time, cfg *fleet.Config) {
 	c.config = cfg
+	for service, p := range c.pools {
+		p.servesUrgent = cfg.ServesUrgent(service)
+	}
 	for _, j := range c.jobs {
 		if q := cfg.Queue(j.Spec.Queue); q != nil && !j.State.Final() {
 			c.updateQueue(now, j, q)
@@ -368,11 +370,11 @@
 	}
 	if j.sloDeadline.IsZero() {
 		for _, r := range j.allRuns() {
-			c.addGrantedCPU(j, -r.spec().Reserved().CPUMillis)
+			c.countRun(r, -1)
 		}
 		j.setQueue(q)
 		for _, r := range j.allRuns() {
-			c.addGrantedCPU(j, r.spec().Reserved().CPUMillis)
+			c.countRun(r, 1)
 		}
 	}
 	if j.SetMaxAttempts(now, q.MaxAttempts) {
@@ -436,7 +438,7 @@
 
 // Tick opens due occurrences, checks leases and timeouts, and drops expired jobs.
 func (c *Core) Tick(now time.Time) {
-	c.updateUrgentPeak(now)
+	c.updateUrgentPeaks(now)
 	c.recordTick(now)
 	c.updateHoldBack(now)
 	for id, j := range c.scheduled {
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -85,6 +85,8 @@
 	fleet.Executor
 	// listed is set while the executor has an entry in the instance list.
 	listed bool
+	// counted is set once the executor is counted in its pool.
+	counted bool
 	// writtenAt is about when the executor wrote its entry, as given to SetExecutor.
 	writtenAt time.Time
 	// unlistedAt is when the entry was removed. Entries also expire while the store is unavailable.
@@ -188,8 +190,12 @@
 		return // most writes of an entry only show that the executor is alive
 	}
 	leaving := e.Draining && !ex.Draining
+	if ex.counted {
+		c.countExecutor(ex, -1)
+	}
 	ex.Executor = e
-	ex.listed = true
+	ex.listed, ex.counted = true, true
+	c.countExecutor(ex, 1)
 	c.allocator.SetWorker(place.Worker{Name: e.ID, Rack: e.Rack, Capacity: e.Capacity})
 	c.updateCordon(ex)
 	if leaving {
@@ -358,6 +364,7 @@
 
 func (c *Core) dropExecutor(ex *executor) {
 	c.allocator.RemoveWorker(ex.ID)
+	c.pool(ex.Service).capacity -= ex.poolCPU()
 	delete(c.executors, ex.ID)
 	delete(c.unacked, ex.ID)
 	c.sortedExecutors = slices.DeleteFunc(slices.Clone(c.sortedExecutors), func(other *executor) bool { return other == ex })
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -12,16 +12,6 @@
 )
 
 const (
-	// minUrgentReserve is the minimum share of the fleet's CPU reserved for urgent work, so that it
-	// finds capacity at once while long tasks fill the fleet. maxUrgentReserve is the maximum
-	// share.
-	minUrgentReserve = 0.12
-	maxUrgentReserve = 0.4
-
-	// peakFactor times the recent peak of urgent work is reserved for it. peakDecay is the fraction
-	// by which the peak decays per second.
-	peakFactor = 1.0
-	peakDecay  = 0.25
 
 	// ticketMargin is how long before its expiry a ticket is no longer used, since the start has to
 	// arrive while the ticket is valid.
@@ -264,37 +254,6 @@
 	return fleet.TaskID{Job: st.job.ID, Occurrence: st.stepID.Occurrence, Step: st.stepID.Step, Index: index}
 }
 
-// leavesReserve reports whether the step may start more tasks without using the CPU reserved for
-// urgent work, or processor time of the owner that urgent work needs. Steps of the urgent priority always
-// may, and long-running ones, since callers notice at once when they are missing. An owner that is behind
-// holds back the others beside urgent work, for a bounded time.
-func (c *Core) leavesReserve(st *stepState, tasks int) bool {
-	if st.queue.Priority == 0 || st.spec.LongRunning {
-		return true
-	}
-	if c.holdsBack && c.urgentCPU > 0 && !st.heldTooLong {
-		return false
-	}
-	capacity, _ := c.allocator.Totals()
-	return c.otherCPU+st.spec.Reserved().CPUMillis*int64(tasks) <= capacity.CPUMillis-c.urgentReserve(capacity.CPUMillis)
-}
-
-// urgentReserve returns the CPU reserved for urgent work. It protects an ordinary load of urgent
-// jobs against bursts of long ones.
-func (c *Core) urgentReserve(capacity int64) int64 {
-	reserved := min(max(peakFactor*c.urgentPeak, minUrgentReserve*float64(capacity)), maxUrgentReserve*float64(capacity))
-	return int64(reserved)
-}
-
-// updateUrgentPeak updates the decaying peak of CPU use by urgent work.
-func (c *Core) updateUrgentPeak(now time.Time) {
-	if !c.peakUpdatedAt.IsZero() {
-		c.urgentPeak *= 1 - peakDecay*min(now.Sub(c.peakUpdatedAt).Seconds(), 1)
-	}
-	c.peakUpdatedAt = now
-	c.urgentPeak = max(c.urgentPeak, float64(c.urgentCPU))
-}
-
 // candidates returns the executors that may run the step now.
 func (c *Core) candidates(now time.Time, st *stepState) []place.Candidate {
 	var out []place.Candidate
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -49,14 +49,13 @@
 
 // updateWaiting records since when each step with tasks to start has been waiting: accepted and, unless its
 // tasks are long-running, with nothing of its job running. After waitPatience it uses executors that are
-// kept away, unless the fleet is so full that it may have to wait for room: a failed run costs one of few
+// kept away, unless its pool is so full that it may have to wait for room: a failed run costs one of few
 // attempts. Long-running tasks may fail any number of times.
 func (c *Core) updateWaiting(now time.Time) {
 	if now.Sub(c.waitUpdatedAt) < waitUpdateInterval {
 		return
 	}
 	c.waitUpdatedAt = now
-	room := c.hasRoom()
 	for _, st := range c.runnable {
 		if !st.job.accepted || len(st.job.runs) > 0 && !st.spec.LongRunning {
 			st.waitingSince, st.waitReported, st.impatient = time.Time{}, false, false
@@ -67,7 +66,7 @@
 		}
 		st.heldTooLong = now.Sub(st.waitingSince) > maxHoldBack
 		was := st.impatient
-		st.impatient = now.Sub(st.waitingSince) > waitPatience && (st.spec.LongRunning || room)
+		st.impatient = now.Sub(st.waitingSince) > waitPatience && (st.spec.LongRunning || c.pool(st.queue.Service).hasRoom())
 		st.fullScan = st.fullScan || st.impatient && !was
 	}
 }
@@ -93,12 +92,6 @@
 	st.waitingSince, st.waitReported, st.impatient, st.heldTooLong = time.Time{}, false, false, false
 }
 
-// hasRoom reports whether so little of the fleet's CPU is in use that no step should have to wait.
-func (c *Core) hasRoom() bool {
-	capacity, granted := c.allocator.Totals()
-	return float64(granted.CPUMillis) < roomyShare*float64(capacity.CPUMillis)
-}
-
 // reportWaiting logs the steps that wait although there is room, with the reasons, and counts them. A backlog
 // of other steps does not keep long-running ones from being examined.
 func (c *Core) reportWaiting(now time.Time) {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Queue accepts jobs of one kind from clients.
 type Queue struct {
@@ -67,6 +70,11 @@
 	return nil
 }
 
+// ServesUrgent reports whether a queue of the highest priority uses the service.
+func (c *Config) ServesUrgent(service string) bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service && q.Priority == 0 })
+}
+
 // StepID identifies one step of one occurrence of a job.
 type StepID struct {
 	Job        string
