Date entries of the instance list by their versions

Cause: an owner that reads the whole list took each entry for one that was written at most a heartbeat before. The entry of a silent executor stays for three, and for longer while the store is down.

Change: the store's versions come from one counter, so a row with a higher version than a commit was written after it. The driver no longer needs the heartbeat interval.

With the former age TestNewOwnerDoesNotRelyOnOldEntries reports 'capacity of x0 exceeded', and TestDriverDoesNotRelyOnEntriesOfUnknownAge 32 starts on an old entry.

--- a/internal/cell/capacity_test.go
+++ b/internal/cell/capacity_test.go
@@ -26,10 +26,11 @@
 		return
 	}
 	sim.schedule(beatInterval, func() { x.beat(sim) })
-	if x.down || x.unlisted || sim.storeDown {
+	if x.down || x.unlisted || x.storeUnreachable || sim.storeDown {
 		return
 	}
 	x.entryVersion++
+	x.writtenAt = sim.now
 	if len(x.rooms) > 0 {
 		x.Capacity = x.rooms[len(x.rooms)-1].capacity
 	}
@@ -122,6 +123,28 @@
 	}
 }
 
+// Guards against executors that are filled beyond their capacity: a new owner took entries of executors that had shrunk
+// since, and did not reach the store, for recent ones (review/more/shrunk).
+func TestNewOwnerDoesNotRelyOnOldEntries(t *testing.T) {
+	for _, silent := range []time.Duration{3 * time.Second, contactTime + beatInterval, 6 * time.Second} {
+		sim, o := newIdleCell(t, 1)
+		x := sim.execs["x0"]
+		x.resize(sim, place.Resources{CPUMillis: 1000, MemoryMB: 16000})
+		x.storeUnreachable = true
+		sim.advance(silent)
+		o = sim.handOver(o)
+		for i := range 8 {
+			sim.submit(o, fmt.Sprintf("j%d", i), singleStep(testQueue, 1, 200*time.Millisecond))
+			sim.advance(500 * time.Millisecond)
+		}
+		sim.expectNoViolations()
+		x.resize(sim, place.Resources{CPUMillis: 8000, MemoryMB: 16000})
+		x.storeUnreachable = false
+		sim.advance(beatInterval + time.Second)
+		assert.Equal(t, o.core.State("j7").State, flow.Completed, "silent for %s", silent)
+	}
+}
+
 func TestRetriedStartDoesNotExceedShrunkExecutor(t *testing.T) {
 	sim, o := newCrashCell(t, 1, 1, false)
 	x := sim.execs["x0"]
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -81,8 +81,6 @@
 	Lease  time.Duration
 	// EntryValidity is the field of Core.
 	EntryValidity time.Duration
-	// HeartbeatInterval is how often executors write their entries.
-	HeartbeatInterval time.Duration
 
 	Start    func(ctx context.Context, e fleet.Executor, cmd fleet.Start) fleet.Response
 	Stop     func(ctx context.Context, e fleet.Executor, cmd fleet.Stop) fleet.Response
@@ -113,8 +111,8 @@
 	OnTakeover func(epoch int64)
 
 	core *Core
-	// reading is the last reading of the store's clock, and leases what Leases returns.
-	reading ledger.ClockReading
+	// history is that of the ledger after its last commit, and leases what Leases returns.
+	history ledger.History
 	leases  map[string]time.Duration
 	events  chan event
 	// commits are the results of commits, without which the ownership is not renewed and no caller gets
@@ -213,7 +211,7 @@
 		d.OnTakeover(epoch)
 	}
 	now := d.Ledger.Now()
-	d.reading = d.Ledger.Reading()
+	d.history = d.Ledger.History()
 	d.core = &Core{
 		Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, PriorLeases: d.priorLeases(), Log: d.Log,
 	}
@@ -363,7 +361,7 @@
 		sent, err := d.Ledger.Commit(ctx, b.Puts, b.Deletes)
 		d.postEarly(d.commits, func(now time.Time) {
 			d.committing = false
-			d.reading = d.Ledger.Reading()
+			d.history = d.Ledger.History()
 			d.observeCommit(now.Sub(d.renewedAt), b)
 			if errors.Is(err, ledger.ErrInvalid) {
 				d.core.ConfirmOwnership(sent)
--- a/internal/cell/driver_test.go
+++ b/internal/cell/driver_test.go
@@ -114,6 +114,70 @@
 	assert.Equal(t, started["second"], 0)
 }
 
+// Guards against executors that are filled beyond their capacity: entries that were written before anything that the owner
+// can date are not relied on, even if they were read just now.
+func TestDriverDoesNotRelyOnEntriesOfUnknownAge(t *testing.T) {
+	var mu sync.Mutex
+	started := make(map[string]int)
+	begin := time.Now()
+	d := &cell.Driver{
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Lease: 6 * time.Second, EntryValidity: time.Minute,
+		Ledger: workingLedger(func() {}),
+		List: func(context.Context) ([]fleet.Executor, int64, error) {
+			room := place.Resources{CPUMillis: 64000, MemoryMB: 64000}
+			return []fleet.Executor{
+				{ID: "old", Service: testService, Capacity: room, EntryVersion: 1},
+				{ID: "recent", Service: testService, Capacity: room, EntryVersion: 1 << 40},
+			}, 1, nil
+		},
+		Watch: func(ctx context.Context, _ int64) ([]cell.Change, int64, error) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		},
+		Poll: func(ctx context.Context, _ fleet.Executor, p fleet.Poll) fleet.Response {
+			wait(ctx, p.Wait)
+			return fleet.Response{Status: fleet.Executed, HasClock: true, Clock: time.Since(begin)}
+		},
+		Start: func(_ context.Context, e fleet.Executor, _ fleet.Start) fleet.Response {
+			mu.Lock()
+			defer mu.Unlock()
+			started[e.ID]++
+			return fleet.Response{Status: fleet.Executed}
+		},
+		Config: func() *fleet.Config {
+			return &fleet.Config{Version: 1, Queues: []fleet.Queue{{Name: testQueue, Service: testService}}}
+		},
+		Advisers: func() []string { return nil },
+	}
+	d.Init()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx, &ledger.OwnerRow{}) }()
+	const tasks = 40 // more than fit on one of the executors
+	assert.Equal(t, d.Submit(ctx, "job", singleStep(testQueue, tasks, time.Hour)).Outcome, cell.Accepted)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		if started["recent"] > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing has started")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	wait(ctx, 300*time.Millisecond)
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, started["old"], 0)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // A new owner must renew its row while it reads the rows of its predecessor: on a slow network link that
 // takes longer than the age at which the next instance takes over.
 func TestOwnerRenewsWhileItReads(t *testing.T) {
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -165,7 +165,8 @@
 }
 
 // SetExecutor adds or updates an executor of the instance list. Its entry was written after the given
-// time, or up to watchInterval and one read of the list before it.
+// time, or up to watchInterval and one read of the list before it; the zero time means that its age is
+// not known.
 func (c *Core) SetExecutor(now, written time.Time, e fleet.Executor) {
 	ex := c.executors[e.ID]
 	if ex == nil {
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -58,20 +58,20 @@
 func (d *Driver) priorLeases() map[string]time.Time {
 	out := make(map[string]time.Time, len(d.PriorLeases))
 	for id, clock := range d.PriorLeases {
-		out[id] = d.reading.LatestTime(clock)
+		out[id] = d.history.Reading.LatestTime(clock)
 	}
 	return out
 }
 
 // leasesByStoreClock returns the leases to hand over by the store's clock, which the next owner reads as well.
 func (d *Driver) leasesByStoreClock() map[string]time.Duration {
-	if d.reading.Sent.IsZero() {
+	if d.history.Reading.Sent.IsZero() {
 		return nil
 	}
 	leases := d.core.Leases()
 	out := make(map[string]time.Duration, len(leases))
 	for id, expiry := range leases {
-		out[id] = d.reading.Latest(expiry)
+		out[id] = d.history.Reading.Latest(expiry)
 	}
 	return out
 }
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -85,7 +85,7 @@
 
 // addExecutor reads the entry of an executor, as in a list of all, and polls it from then on.
 func (o *owner) addExecutor(x *fakeExecutor) {
-	o.setExecutor(x, o.env.now.Add(-beatInterval))
+	o.setExecutor(x, x.writtenAt)
 	if !o.polling[x.ID] {
 		o.polling[x.ID] = true
 		o.poll(x.ID, false)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -159,6 +159,8 @@
 	// Executor is the entry in the instance list, entryVersion the number of times it was written.
 	fleet.Executor
 	entryVersion int64
+	// writtenAt is when the entry was last written.
+	writtenAt time.Time
 	// unlisted is set while the entry is removed.
 	unlisted bool
 	// rooms holds the capacities that the executor has had, the last one being in force.
@@ -175,6 +177,8 @@
 	lastEndedRun map[fleet.TaskID]int64
 	partitioned  bool
 	down         bool
+	// storeUnreachable keeps the executor from writing its entry.
+	storeUnreachable bool
 	// refuses makes a down executor refuse connections at once.
 	refuses bool
 	// rejectsRetries makes the executor lose the responses to starts and reject their retries.
@@ -287,7 +291,7 @@
 
 func (x *fakeExecutor) restart(sim *simulation) {
 	x.loseRuns(sim)
-	x.startTime, x.incarnation = sim.now, sim.now.UnixMilli()
+	x.startTime, x.incarnation, x.writtenAt = sim.now, sim.now.UnixMilli(), sim.now
 	x.clockStart = x.randomClock(sim)
 	x.maxEpoch, x.leaseUntil, x.lastSequence = 0, x.clockStart, 0
 	x.ends = nil
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -98,14 +98,13 @@
 // watch follows the instance list. After an error it reads the whole list again.
 func (d *Driver) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		sent := d.Ledger.Now()
 		list, version, err := d.List(ctx)
 		if err != nil {
 			d.Log.WithError(err).Warn("reading instance list failed")
 			pause(ctx, relistDelay)
 			continue
 		}
-		d.post(func(now time.Time) { d.applyList(now, sent.Add(-d.HeartbeatInterval), list) })
+		d.post(func(now time.Time) { d.applyList(now, list) })
 		for ctx.Err() == nil {
 			sent := d.Ledger.Now()
 			changes, next, err := d.Watch(ctx, version)
@@ -130,11 +129,13 @@
 	}
 }
 
-func (d *Driver) applyList(now, written time.Time, list []fleet.Executor) {
+// applyList applies the whole instance list. The entry of an executor that does not reach the store stays there for some
+// time, so that its version tells its age, not the time at which it is read.
+func (d *Driver) applyList(now time.Time, list []fleet.Executor) {
 	present := make(map[string]bool, len(list))
 	for _, e := range list {
 		present[e.ID] = true
-		d.core.SetExecutor(now, written, e)
+		d.core.SetExecutor(now, d.history.WrittenAfter(e.EntryVersion), e)
 	}
 	for _, id := range d.core.ExecutorIDs() {
 		if !present[id] {
--- a/internal/ledger/clock_test.go
+++ b/internal/ledger/clock_test.go
@@ -25,3 +25,32 @@
 		}
 	}
 }
+
+// Guards against entries that are taken for recent because they were read recently (review/more/shrunk): an owner dates
+// rows by the commits of its own term and of earlier ones, and never too late.
+func TestVersionsTellWhenRowsWereWritten(t *testing.T) {
+	store := newFakeStore()
+	a, b := store.ledger("a", 1), store.ledger("b", 2)
+	acquire(t, a)
+	first := store.version
+	written := make(map[int64]time.Time) // by version
+	write := func(n int, l *ledger.Ledger) {
+		for range n {
+			store.advance(300 * time.Millisecond)
+			store.version++
+			written[store.version] = store.now
+			store.advance(50 * time.Millisecond)
+			_, err := l.Commit(t.Context(), nil, nil)
+			assert.NilError(t, err)
+		}
+	}
+	write(4, a)
+	acquire(t, b)
+	write(3, b)
+	h := b.History()
+	for version, at := range written {
+		after := h.WrittenAfter(version)
+		assert.Assert(t, !after.After(at) && at.Sub(after) < time.Second, "version %d: written at %s, dated %s", version, at, after)
+	}
+	assert.Assert(t, h.WrittenAfter(first-1).IsZero(), "a row older than all commits")
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -132,6 +132,7 @@
 	acquired   time.Duration
 	shortTerms int64
 	reading    ClockReading
+	samples    []Sample
 	// mayTakeEffect is set while an attempt of a commit that was given up since may still take effect, until the
 	// version of the owner's row has changed.
 	mayTakeEffect bool
@@ -142,9 +143,9 @@
 	return l.reading.Clock + l.Now().Sub(l.reading.Received)
 }
 
-// Reading returns the last reading of the store's clock. It must not be called during Acquire, Commit or Resign.
-func (l *Ledger) Reading() ClockReading {
-	return l.reading
+// History returns what dates the rows of the store. It must not be called during Acquire, Commit or Resign.
+func (l *Ledger) History() History {
+	return History{Reading: l.reading, Samples: l.samples}
 }
 
 // OwnerRow is the owner's row as read from the store.
@@ -174,6 +175,22 @@
 	return r.GetShortTerms() + 1
 }
 
+// samples returns the samples in the row, and the row itself as the last one: its holder wrote the store's clock, which
+// may have been later, into the row before the transaction.
+func (o *OwnerRow) samples() []Sample {
+	if o.Version == 0 {
+		return nil
+	}
+	var out []Sample
+	clocks := o.Record.GetSampleMs()
+	for i, version := range o.Record.GetSampleVersions() {
+		if i < len(clocks) {
+			out = append(out, Sample{Version: version, Clock: time.Duration(clocks[i]) * time.Millisecond})
+		}
+	}
+	return append(out, Sample{Version: o.Version, Clock: time.Duration(o.Record.GetStoreMs()) * time.Millisecond})
+}
+
 // Vacant reports whether no instance owns the cell.
 func (o *OwnerRow) Vacant() bool {
 	return o.Record.GetHolder() == ""
@@ -205,6 +222,7 @@
 	l.mayTakeEffect = false
 	l.reading = ClockReading{Clock: previous.StoreClock, Received: l.Now()}
 	l.acquired, l.shortTerms = previous.StoreClock, previous.shortTerms()
+	l.samples = previous.samples()
 	if _, err := l.Commit(ctx, nil, nil); err != nil {
 		return 0, err
 	}
@@ -249,6 +267,9 @@
 		StoreMs: l.estimateStoreClock().Milliseconds(), Nonce: l.Nonce,
 		AcquiredMs: l.acquired.Milliseconds(), ShortTerms: l.shortTerms,
 	}
+	for _, s := range l.samples {
+		row.SampleVersions, row.SampleMs = append(row.SampleVersions, s.Version), append(row.SampleMs, s.Clock.Milliseconds())
+	}
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return time.Time{}, errors.Wrap(err, "ledger: unable to encode the owner's row")
@@ -276,6 +297,7 @@
 			}
 		case table.Committed:
 			l.version = res.Version
+			l.samples = withSample(l.samples, Sample{Version: l.version, Clock: time.Duration(row.GetStoreMs()) * time.Millisecond})
 			l.mayTakeEffect = false
 			l.reading = ClockReading{Clock: clock, Sent: sent, Received: l.Now()}
 			return sent, nil
