Discard starts that wait or are repeated while their executor drains

Cause: only the decision about a new start looked at draining. Queued and repeated ones were checked for a restart, for shrinking and for the age of the entry alone.

Change: they are discarded on an executor that drains, as on one that has shrunk. A stop makes an earlier attempt harmless that may still be executed.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -169,14 +169,9 @@
 		r.commandPending = false
 		return true // a list has told meanwhile that an earlier attempt was executed
 	}
-	if !r.stopping && r.isForFormerIncarnation() {
+	if why := c.whyUnwanted(r); why != "" && !r.stopping {
 		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
-			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has restarted")
-		r.stopping = true
-	}
-	if !r.stopping && c.overcommitted(r.ex) {
-		c.Log.WithField("job", r.job.ID).WithField("step", r.task.Step).WithField("index", r.task.Index).
-			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: executor has shrunk")
+			WithField("run", r.number).WithField("executor", r.ex.ID).Info("start discarded: " + why)
 		r.stopping = true
 	}
 	if !r.stopping && !c.entryIsValid(now, r.ex) {
@@ -195,6 +190,20 @@
 	return true
 }
 
+// whyUnwanted returns what has become of the executor of a run, since the start was decided, so that it must not be sent
+// any more; an empty reason means that it may.
+func (c *Core) whyUnwanted(r *run) string {
+	switch {
+	case r.isForFormerIncarnation():
+		return "executor has restarted"
+	case c.overcommitted(r.ex):
+		return "executor has shrunk"
+	case r.ex.Draining:
+		return "executor is draining"
+	}
+	return ""
+}
+
 // isForFormerIncarnation reports whether the executor has restarted since the start was decided. The lease end, the
 // ticket and the room of the start are those of the former incarnation.
 func (r *run) isForFormerIncarnation() bool {
