Count jobs as started once an executor has confirmed it

Cause: a job counted as started when a start was decided, and went on doing so when the start had certainly not run.

Change: it counts as started once an executor confirms a start or lists a run or an end of the job.

TestJobsWhoseStartsNeverRanAreWaiting fails before: 0 of 4 jobs wait.

--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -86,7 +86,6 @@
 		c.secondPolls = append(c.secondPolls, ex.ID)
 		c.Stats.Trials++
 	}
-	c.markStarted(now, st.job)
 	c.observeRestart(now, st, index, ex)
 	st.job.startedRuns++
 	st.job.lastStart = now
@@ -279,7 +278,7 @@
 	case fleet.HasNotRun:
 		return
 	case fleet.HasRun:
-		r.confirm(now, resp.Clock, resp.HasClock)
+		c.confirm(now, r, resp.Clock, resp.HasClock)
 	case fleet.MayRun:
 	}
 	c.recordTaskCrash(now, r, r.ex.crashed, resp.Status.String())
@@ -309,11 +308,11 @@
 		}
 		r.unconfirmed = false
 		if r.isForFormerIncarnation() {
-			r.confirm(now, 0, false) // the clock of the response is the former one's
+			c.confirm(now, r, 0, false) // the clock of the response is the former one's
 			c.loseFormerRun(now, r)
 			return
 		}
-		r.confirm(now, resp.Clock, resp.HasClock)
+		c.confirm(now, r, resp.Clock, resp.HasClock)
 		if !r.progressKnown {
 			r.progressKnown, r.progressClock = true, r.confirmedClock
 		}
--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -250,3 +250,30 @@
 	assert.Equal(t, len(sim.history[fleet.TaskID{Job: last}]), 1)
 	sim.expectNoViolations()
 }
+
+// Guards against a number of waiting jobs that is too low: jobs counted as started although their starts never ran, and
+// were shown as running (review/more/num-waiting).
+func TestJobsWhoseStartsNeverRanAreWaiting(t *testing.T) {
+	sim, o := newIdleCell(t, 2)
+	x := sim.execs["x0"]
+	x.Labels = []string{"special"}
+	o.addExecutor(x)
+	x.down = true // without breaking its connections
+	const jobs = 4
+	for i := range jobs {
+		spec := singleStep(testQueue, 1, time.Second)
+		spec.Steps[0].RequiredLabel = "special"
+		sim.submit(o, fmt.Sprintf("j%d", i), spec)
+	}
+	sim.advance(50 * time.Millisecond)
+	assert.Assert(t, sim.startsOn(x) > 0)
+	for range 20 {
+		sim.advance(time.Second)
+		assert.Equal(t, o.core.PendingJobs()[testQueue], int64(jobs), "after %s", sim.now.Sub(o.core.TakeoverAt))
+		assert.Equal(t, o.core.State("j0").State, flow.Pending)
+	}
+	x.restart(sim)
+	sim.advance(3 * time.Second)
+	assert.Equal(t, o.core.PendingJobs()[testQueue], int64(0))
+	assert.Equal(t, o.core.State("j0").State, flow.Completed)
+}
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -87,10 +87,11 @@
 }
 
 // confirm records that the executor confirmed the run in a response with the given reading of its clock.
-func (r *run) confirm(now time.Time, clock time.Duration, hasClock bool) {
+func (c *Core) confirm(now time.Time, r *run, clock time.Duration, hasClock bool) {
 	if !r.confirmedAt.IsZero() {
 		return
 	}
+	c.markStarted(now, r.job)
 	if !hasClock {
 		clock = r.ex.estimatedClock(now)
 	}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -277,6 +277,7 @@
 	}
 	ex.unackedEnds = append(ex.unackedEnds, unackedEnd{e.Sequence, j})
 	c.openStarted(now, j, e.Task)
+	c.markStarted(now, j)
 	c.withdrawCrash(j, e.Task, e.Number)
 	if e.Kind == fleet.Failed {
 		if j.RecordSurvivedStart(e.Task, e.Number, true) {
@@ -384,7 +385,7 @@
 			c.Log.WithField("executor", ex.ID).WithField("life", ex.incarnation).WithField("meant_for", r.start.Incarnation).
 				WithField("run", r.key).Warn("executor runs a task whose start was meant for its former incarnation")
 		}
-		r.confirm(now, ex.clock, true)
+		c.confirm(now, r, ex.clock, true)
 		r.unconfirmed = false
 		c.withdrawCrash(r.job, r.task, r.number)
 		if listed.Percent > r.percent || !r.progressKnown {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -165,7 +165,7 @@
 	return len(c.runnable)
 }
 
-// markStarted records the first start of a job.
+// markStarted records that a task of a job has started, as an executor has confirmed.
 func (c *Core) markStarted(now time.Time, j *job) {
 	if j.Started {
 		return
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -52,7 +52,7 @@
 	// MaxAttempts is the number of failed runs of one task that fails the job; 0 counts as 1, and
 	// UnknownAttempts keeps the job from failing.
 	MaxAttempts int
-	// Started is set when the first task is started.
+	// Started is set when an executor has confirmed that a task has started.
 	Started bool
 	// CrashesExecutors is set when the job failed because one of its tasks crashes its executors.
 	CrashesExecutors bool
