Store the settings of a job's queue with the job

Cause: the stored job named its queue only. The next owner found no such queue in the configuration, and so no service for the job.

Change: the settings of the queue at the acceptance are stored with the job, and with the version of that configuration. They hold if the configuration has no such queue and is not older than the job.

TestJobOutlivesItsQueue fails before: the job stays running.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -341,7 +341,11 @@
 		p.servesUrgent = cfg.ServesUrgent(service)
 	}
 	for _, j := range c.jobs {
-		if q := cfg.Queue(j.Spec.Queue); q != nil && !j.State.Final() {
+		q := cfg.Queue(j.Spec.Queue)
+		if q == nil && j.sloDeadline.IsZero() {
+			q = c.queueOf(j.Spec.Queue, j.Spec.AcceptedBy)
+		}
+		if q != nil && !j.State.Final() {
 			c.updateQueue(now, j, q)
 		}
 	}
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -170,7 +170,10 @@
 			return
 		}
 		o.adviceInFlight++
-		a := sim.config.Queue(specs[sim.t.Name()+req.Step.Job].Queue).Advice
+		a := sim.advice[specs[sim.t.Name()+req.Step.Job].Queue]
+		if a == nil {
+			a = sim.config.Queue(specs[sim.t.Name()+req.Step.Job].Queue).Advice
+		}
 		deadline := sim.now.Add(o.core.AdviceTimeout(req))
 		sim.schedule(a.BaseLatency+a.LatencyPerExecutor*time.Duration(len(req.Executors))+sim.adviceDelay, func() {
 			o.adviceInFlight--
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -191,12 +191,11 @@
 }
 
 func (c *Core) restoreJob(now time.Time, id string, spec *wire.JobRecord, progress []*wire.ProgressRecord, executors []string) error {
-	attempts := flow.UnknownAttempts
 	queue := spec.GetQueue()
 	if len(progress) > 0 {
 		queue = progress[0].GetQueue()
 	}
-	q := c.config.Queue(queue)
+	q, attempts := c.queueOf(queue, flow.AcceptedBy(spec)), flow.UnknownAttempts
 	if q != nil {
 		attempts = q.MaxAttempts
 	}
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/flow"
+	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
 // takeOverBeforeConfig lets an owner take over whose configuration is older than the queues, and
@@ -75,3 +76,39 @@
 	sim.advance(60 * time.Second)
 	assert.Equal(t, o.core.State("job").State, flow.Completed)
 }
+
+// Guards against jobs that are never done: the owner changes after their queue was removed, and the next one knows
+// neither their service nor whether their tasks need tickets (review/3).
+func TestJobOutlivesItsQueue(t *testing.T) {
+	tickets := &fleet.Advice{BaseLatency: 20 * time.Millisecond, LatencyPerExecutor: time.Millisecond, TicketTTL: 2 * time.Second}
+	for lags, advice := range map[bool]*fleet.Advice{true: nil, false: tickets} {
+		sim := newSimulation(t, 1, 4)
+		sim.failureShare, sim.allowedShare = 0, 1
+		sim.config.Queues[1].Advice = advice
+		sim.advice = map[string]*fleet.Advice{slowQueue: advice}
+		o := sim.takeOver()
+		sim.advance(time.Second)
+		spec := singleStep(slowQueue, 2, 2*time.Second)
+		spec.Steps = append(spec.Steps, flow.StepSpec{Count: 2, Need: place.Resources{CPUMillis: 1000}, DependsOn: []int{0}, Estimate: time.Second})
+		sim.submit(o, "job", spec)
+		sim.submit(o, "failing", singleStep(slowQueue, 1, 2*time.Second))
+		sim.hopeless[fleet.TaskID{Job: "failing"}] = true
+		sim.advance(500 * time.Millisecond)
+		removed := *sim.config
+		removed.Version, removed.Queues = 2, removed.Queues[:1]
+		sim.config = &removed
+		o.core.SetConfig(sim.now, sim.config)
+		o.dead = true
+		if lags {
+			o, _ = takeOverBeforeConfig(sim)
+			sim.advance(time.Second)
+			o.core.SetConfig(sim.now, &removed)
+		} else {
+			o = sim.takeOver()
+		}
+		sim.advance(40 * time.Second)
+		assert.Equal(t, o.core.State("job").State, flow.Completed, "advice %v", advice)
+		assert.Equal(t, o.core.State("failing").State, flow.Failed, "advice %v", advice)
+		sim.expectNoViolations()
+	}
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -85,6 +85,8 @@
 	// storeRelayed makes commits go through another instance.
 	storeRelayed bool
 
+	// advice holds what the policy service does for queues that the configuration may lack.
+	advice map[string]*fleet.Advice
 	// advisers is the number of concurrent calls to the policy service.
 	advisers int
 
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -148,7 +148,7 @@
 		return st
 	}
 	st := &stepState{
-		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.config.Queue(j.Spec.Queue),
+		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.queueOf(j.Spec.Queue, j.Spec.AcceptedBy),
 		tickets: make(map[string]ticket), asked: make(map[string]int64), asking: make(map[string]promise),
 		runsOn: make(map[string]int), failuresOn: make(map[string]int), endedAt: make(map[int]time.Time),
 		unclaimed: make(map[string]bool),
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -46,6 +46,7 @@
 	}
 	// The clock of the instance that received the job may be wrong, and jobs are ordered by this time.
 	spec.Accepted = now
+	spec.AcceptedBy = &flow.Acceptance{Queue: *q, ConfigVersion: c.config.Version}
 	j := c.newJob(flow.NewJob(id, spec, q.MaxAttempts), q)
 	j.submitReplies = append(j.submitReplies, reply)
 	c.writes.addNew(j)
@@ -112,6 +113,18 @@
 	return j
 }
 
+// queueOf returns a queue as it is configured. If it has been removed, it is the one that accepted the job, which outlives
+// it; if the configuration is older than the job, it is nil, since the queue may have changed since then.
+func (c *Core) queueOf(name string, accepted *flow.Acceptance) *fleet.Queue {
+	if q := c.config.Queue(name); q != nil {
+		return q
+	}
+	if accepted != nil && accepted.ConfigVersion <= c.config.Version {
+		return &accepted.Queue
+	}
+	return nil
+}
+
 // setQueue sets what the job's queue determines about its urgency.
 func (j *job) setQueue(q *fleet.Queue) {
 	j.priority = q.Priority
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -24,9 +24,49 @@
 	for i := range s.Steps {
 		r.Steps = append(r.Steps, s.Steps[i].record())
 	}
+	if s.AcceptedBy != nil {
+		r.QueueSettings = queueRecord(s.AcceptedBy)
+	}
 	return r
 }
 
+func queueRecord(a *Acceptance) *wire.QueueRecord {
+	q := &a.Queue
+	r := &wire.QueueRecord{
+		Service: q.Service, Priority: int64(q.Priority), MaxAttempts: int64(q.MaxAttempts), Stretch: q.Stretch,
+		SlackUs: q.Slack.Microseconds(), ConfigVersion: a.ConfigVersion,
+	}
+	if q.Advice != nil {
+		r.Advice = &wire.AdviceRecord{
+			BaseLatencyUs: q.Advice.BaseLatency.Microseconds(), LatencyPerExecutorUs: q.Advice.LatencyPerExecutor.Microseconds(),
+			TicketTtlUs: q.Advice.TicketTTL.Microseconds(),
+		}
+	}
+	return r
+}
+
+// AcceptedBy returns the queue of a job as it was configured when the job was accepted; nil if the record does not tell.
+func AcceptedBy(job *wire.JobRecord) *Acceptance {
+	r := job.GetQueueSettings()
+	if r == nil {
+		return nil
+	}
+	q := fleet.Queue{
+		Name: job.GetQueue(), Service: r.GetService(), Priority: int(r.GetPriority()), MaxAttempts: int(r.GetMaxAttempts()),
+		Stretch: r.GetStretch(), Slack: micros(r.GetSlackUs()),
+	}
+	if a := r.GetAdvice(); a != nil {
+		q.Advice = &fleet.Advice{
+			BaseLatency: micros(a.GetBaseLatencyUs()), LatencyPerExecutor: micros(a.GetLatencyPerExecutorUs()),
+			TicketTTL: micros(a.GetTicketTtlUs()),
+		}
+	}
+	return &Acceptance{Queue: q, ConfigVersion: r.GetConfigVersion()}
+}
+
+// micros returns n microseconds, limited to fleet.MaxDuration.
+func micros(n int64) time.Duration { return fleet.Times(float64(n), time.Microsecond) }
+
 func (s *StepSpec) record() *wire.StepRecord {
 	r := &wire.StepRecord{
 		Count: int64(s.Count), CpuMillis: s.Need.CPUMillis, MemoryMb: s.Need.MemoryMB,
@@ -47,6 +87,7 @@
 	s := Spec{
 		Queue: r.GetQueue(), Text: r.GetText(), Period: fleet.Millis(r.GetPeriodMs()),
 		Occurrences: int(r.GetTimes()), Accepted: UnixMilli(r.GetAcceptedMs()),
+		AcceptedBy: AcceptedBy(r),
 	}
 	if s.Occurrences > 0 {
 		s.FirstDue = UnixMilli(r.GetFirstDueMs())
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
@@ -52,6 +53,14 @@
 	Occurrences int
 	// Accepted is when the job was submitted.
 	Accepted time.Time
+	// AcceptedBy is the queue as it was configured then; nil if it is not known.
+	AcceptedBy *Acceptance
+}
+
+// Acceptance is a queue in one version of the configuration.
+type Acceptance struct {
+	Queue         fleet.Queue
+	ConfigVersion int64
 }
 
 // StepSpec describes one step of a job: a number of identical tasks.
