Play the longest tests of the cell in parallel

Its longest 19 tests play simulations of their own in virtual time; what kept them apart was a global map of specs, which each simulation has for itself now. Tests that measure time or processors stay serial: they run before the others.

--- a/internal/cell/answers_test.go
+++ b/internal/cell/answers_test.go
@@ -179,6 +179,7 @@
 // series by owners that are killed, resign or are cut off from the store, a store that refuses, loses and
 // delays commits, and the loss of all owners.
 func TestRandomTakeoversForgetNoJob(t *testing.T) {
+	t.Parallel()
 	seeds := 12
 	if n, err := strconv.Atoi(os.Getenv("DAISYRACK_ANSWER_SEEDS")); err == nil {
 		seeds = n
--- a/internal/cell/blame_test.go
+++ b/internal/cell/blame_test.go
@@ -33,6 +33,7 @@
 // Jobs whose tasks share executors with deadly ones, or whose executors crash by themselves, must not be
 // given up. A job with a deadly task fails rightly, whichever of its tasks is named.
 func TestInnocentTasksAreNotGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, day := range []blameDay{{0, 8, false, false}, {0, 16, false, false}, {1, 8, false, false}, {3, 4, false, false}, {3, 8, false, false}} {
 		for _, day.silent = range []bool{false, true} {
 			for _, day.keepsID = range []bool{false, true} {
--- a/internal/cell/burst_test.go
+++ b/internal/cell/burst_test.go
@@ -36,7 +36,7 @@
 // objective returns the time within which a job has to end: Stretch times its longest chain of actual work, runs
 // that fail by their own fault included, one call for advice on 30 executors a step, and Slack.
 func (sim *simulation) objective(id string) time.Duration {
-	spec := specs[sim.t.Name()+id]
+	spec := sim.specs[id]
 	q := sim.config.Queue(spec.Queue)
 	ends := make([]time.Duration, len(spec.Steps))
 	var chain time.Duration
@@ -68,7 +68,7 @@
 func (sim *simulation) outcomeOf(o *owner, queue string, from time.Time, length time.Duration) outcome {
 	var out outcome
 	for id := range sim.submittedTo[queue] {
-		spec := specs[sim.t.Name()+id]
+		spec := sim.specs[id]
 		if at := spec.Accepted.Sub(from); at < 0 || at >= length {
 			continue
 		}
@@ -160,6 +160,7 @@
 // least four fifths must be in time with one response in sixteen lost. In each play the urgent jobs must earn the
 // highest floor of the users' days, where a late job earns a fifth.
 func TestUrgentJobsInBurstsWithLostResponses(t *testing.T) {
+	t.Parallel()
 	const (
 		lostShare = 0.064
 		floor     = 0.46
@@ -240,6 +241,7 @@
 // highest floor of the users' days, and of those that come a second after the end of all, four fifths of the jobs must
 // be in time that are on an undisturbed day.
 func TestOwnerRecoversFromBurstsLossesAndStoreOutage(t *testing.T) {
+	t.Parallel()
 	const floor = 0.46
 	calm, after := 0, 0
 	for seed := range uint64(3) {
--- a/internal/cell/capacity_test.go
+++ b/internal/cell/capacity_test.go
@@ -69,6 +69,7 @@
 // Executors shrink and grow under load, while commands are executed late, responses get lost, the
 // instance list stalls or the owner changes.
 func TestStartsFitExecutorsThatShrink(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(*simulation, *owner) *owner{
 		"calm":                func(_ *simulation, o *owner) *owner { return o },
 		"late commands":       func(sim *simulation, o *owner) *owner { sim.lateCommandShare = 0.3; return o },
--- a/internal/cell/core_test.go
+++ b/internal/cell/core_test.go
@@ -183,7 +183,7 @@
 		submit := func(id string, accepted time.Time) {
 			spec := singleStep(slowQueue, 3, time.Second)
 			spec.Accepted = accepted
-			specs[t.Name()+id] = spec
+			sim.specs[id] = spec
 			o.core.Submit(sim.now, id, spec, func(cell.Reply) {})
 			o.applyDecisions()
 			sim.advance(100 * time.Millisecond)
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -338,6 +338,7 @@
 }
 
 func TestStepOfSuspectsStartsAgainWhileThereIsRoom(t *testing.T) {
+	t.Parallel()
 	const executors, tasks = 48, 14
 	for _, gang := range []bool{false, true} {
 		for seed := range uint64(8) {
--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -259,7 +259,7 @@
 			sim.addViolation("task %s runs twice: run %d on %s and run %d on %s", runKey(s.Task, s.Number), sp.number, sp.executor, s.Number, x.ID)
 		}
 	}
-	all := specs[sim.t.Name()+s.Task.Job]
+	all := sim.specs[s.Task.Job]
 	for _, before := range all.Steps[s.Task.Step].DependsOn {
 		for i := range all.Steps[before].Count {
 			t := fleet.TaskID{Job: s.Task.Job, Step: before, Index: i}
--- a/internal/cell/faults_test.go
+++ b/internal/cell/faults_test.go
@@ -37,6 +37,7 @@
 
 // Random faults must not run a task twice, exceed a capacity or lose a job.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	completed := 0
 	for seed := range seedCount() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { completed += runFaults(t, seed, 0) })
@@ -47,6 +48,7 @@
 
 // Among the jobs of random faults, some have a task that crashes its executors.
 func TestRandomFaultsWithCrashingTasks(t *testing.T) {
+	t.Parallel()
 	for seed := range seedCount() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed, 0.15) })
 	}
--- a/internal/cell/flap_test.go
+++ b/internal/cell/flap_test.go
@@ -35,6 +35,7 @@
 
 // Guards against giving up tasks that happen to run on executors that crash by themselves.
 func TestFlappingExecutorsFailNoJob(t *testing.T) {
+	t.Parallel()
 	for seed := range seedCount() / 6 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			const executors, flapping, crashes = 40, 6, 12
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -82,7 +82,7 @@
 func (sim *simulation) startedMeanwhile(from, to time.Time) int {
 	n := 0
 	for task, spans := range sim.history {
-		spec := specs[sim.t.Name()+task.Job]
+		spec := sim.specs[task.Job]
 		if len(spans) > 0 && spec.Accepted.After(from) && spans[0].begin.Before(to) {
 			n++
 		}
--- a/internal/cell/isolation_test.go
+++ b/internal/cell/isolation_test.go
@@ -30,6 +30,7 @@
 // Guards against one large job whose tasks fail that stops the cell: its progress did not fit into a row, each commit
 // with it was refused, and the leases of all executors expired (review/2).
 func TestProgressOfLargeJobIsStored(t *testing.T) {
+	t.Parallel()
 	for _, steps := range []int{1, 3} {
 		t.Run(fmt.Sprintf("%d steps", steps), func(t *testing.T) {
 			sim := newSimulation(t, 1, 4)
@@ -69,6 +70,7 @@
 
 // A progress record in several rows must be read as a whole, and only if all of its parts are stored.
 func TestPartsOfProgressAreReadAsWhole(t *testing.T) {
+	t.Parallel()
 	sim := newSimulation(t, 1, 4)
 	sim.failureShare = 0
 	sim.config.Queues[1].MaxAttempts = 50
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -88,7 +88,7 @@
 // ended.
 func (sim *simulation) metObjective(o *owner, queue string) (good, all int) {
 	for id, at := range sim.endedAt {
-		spec := specs[sim.t.Name()+id]
+		spec := sim.specs[id]
 		q := sim.config.Queue(spec.Queue)
 		if spec.Queue != queue {
 			continue
@@ -186,7 +186,7 @@
 		}
 	}
 	for id := range sim.endedAt {
-		spec := specs[sim.t.Name()+id]
+		spec := sim.specs[id]
 		if spec.Queue != queue {
 			continue
 		}
@@ -201,6 +201,7 @@
 // While a burst of long jobs exceeds the capacity of the fleet, the first tasks of 95% of the
 // urgent jobs must still start within 150 ms, as without the burst.
 func TestUrgentJobsDuringBurstOfLongJobs(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		sim := newLargeFleet(t, seed, 60)
 		o := sim.takeOver()
--- a/internal/cell/overload_test.go
+++ b/internal/cell/overload_test.go
@@ -225,7 +225,7 @@
 	var s service
 	good, late := 0, 0
 	for id := range sim.submittedTo[queue] {
-		spec := specs[sim.t.Name()+id]
+		spec := sim.specs[id]
 		q := sim.config.Queue(queue)
 		objective := time.Duration(q.Stretch*float64(spec.CriticalPath())) + q.Slack
 		s.submitted++
@@ -288,6 +288,7 @@
 // in time. Responses that this instance reads late must not be taken for lost ones: to repeat calls would
 // add to its load.
 func TestOwnerWithoutTimeToSpare(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		planned := playOverload(t, seed, 1)
 		assert.Equal(t, planned.stats.Rejected, int64(0))
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -170,9 +170,9 @@
 			return
 		}
 		o.adviceInFlight++
-		a := sim.advice[specs[sim.t.Name()+req.Step.Job].Queue]
+		a := sim.advice[sim.specs[req.Step.Job].Queue]
 		if a == nil {
-			a = sim.config.Queue(specs[sim.t.Name()+req.Step.Job].Queue).Advice
+			a = sim.config.Queue(sim.specs[req.Step.Job].Queue).Advice
 		}
 		deadline := sim.now.Add(o.core.AdviceTimeout(req))
 		sim.schedule(a.BaseLatency+a.LatencyPerExecutor*time.Duration(len(req.Executors))+sim.adviceDelay, func() {
@@ -206,7 +206,7 @@
 func (sim *simulation) allows(step fleet.StepID, id string) bool {
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, step, machineOf(id))
-	share, ok := sim.allowedShares[specs[sim.t.Name()+step.Job].Queue]
+	share, ok := sim.allowedShares[sim.specs[step.Job].Queue]
 	if !ok {
 		share = sim.allowedShare
 	}
--- a/internal/cell/promise_test.go
+++ b/internal/cell/promise_test.go
@@ -141,6 +141,7 @@
 // Long-running tasks must start, and start again after a failed run, while there is room, beside a backlog of
 // long jobs.
 func TestLongRunningTasksRestartBesideBacklog(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                      string
 		seeds                     []uint64
--- a/internal/cell/replaced_test.go
+++ b/internal/cell/replaced_test.go
@@ -41,6 +41,7 @@
 // tasks on executors whose address another one had taken, and counted each rejected start as a crash by its task
 // (review/1).
 func TestReplacedExecutorsFailNoJob(t *testing.T) {
+	t.Parallel()
 	const executors = 48
 	for _, downTime := range []time.Duration{50 * time.Millisecond, 450 * time.Millisecond, 1200 * time.Millisecond} {
 		for seed := range uint64(2) {
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -12,6 +12,7 @@
 
 // Guards against random faults that find nothing: without the binding of calls to an incarnation tasks run twice.
 func TestRandomFaultsFindUnboundCalls(t *testing.T) {
+	t.Parallel()
 	failed, seeds := 0, max(seedCount(), defaultSeeds)
 	for seed := range seeds {
 		sim := newSimulation(t, seed, 6)
--- a/internal/cell/scarce_test.go
+++ b/internal/cell/scarce_test.go
@@ -27,6 +27,7 @@
 // that callers allow, although a backlog of less important jobs needs more room and more calls to the
 // policy service than there are.
 func TestScarceFleetKeepsNoLongRunningTaskWaiting(t *testing.T) {
+	t.Parallel()
 	for seed := range max(seedCount()/10, 1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runScarce(t, seed) })
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -36,6 +36,7 @@
 	eventSeq int
 
 	execs      map[string]*fakeExecutor
+	specs      map[string]flow.Spec // by job
 	rows       map[string][]byte
 	storeEpoch int64 // epoch that is allowed to commit
 	config     *fleet.Config
@@ -250,7 +251,7 @@
 	sim := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)),
 		network: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_700_000_000, 0),
-		execs: make(map[string]*fakeExecutor), rows: make(map[string][]byte),
+		execs: make(map[string]*fakeExecutor), specs: make(map[string]flow.Spec), rows: make(map[string][]byte),
 		failureShare: 0.02, advisers: numAdvisers,
 		history: make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
 		misdirectedStarts: make(map[string]int),
@@ -373,17 +374,15 @@
 	return fmt.Sprintf("%s.%d.%d.%d#%d", t.Job, t.Occurrence, t.Step, t.Index, n)
 }
 
-var specs = make(map[string]flow.Spec)
-
 func (sim *simulation) specOf(t fleet.TaskID) *flow.StepSpec {
-	spec := specs[sim.t.Name()+t.Job]
+	spec := sim.specs[t.Job]
 	return &spec.Steps[t.Step]
 }
 
 // submit submits a job to an owner. The returned reply is set once the owner replies.
 func (sim *simulation) submit(o *owner, id string, spec flow.Spec) *cell.Reply {
 	spec.Accepted = sim.now
-	specs[sim.t.Name()+id] = spec
+	sim.specs[id] = spec
 	if sim.submittedTo[spec.Queue] == nil {
 		sim.submittedTo[spec.Queue] = make(map[string]bool)
 	}
--- a/internal/cell/unstored_test.go
+++ b/internal/cell/unstored_test.go
@@ -20,6 +20,7 @@
 // the next owner had not opened was dropped (review/4). Owners are killed at random between the use of what they
 // decide and its commit: opened occurrences, later steps, failures, cancellations.
 func TestEndsOutliveOwnersThatDidNotStoreThem(t *testing.T) {
+	t.Parallel()
 	for seed := range max(seedCount()/10, 2) {
 		for _, slow := range []time.Duration{0, 150 * time.Millisecond} {
 			t.Run(fmt.Sprintf("seed %d, store slower by %s", seed, slow), func(t *testing.T) {
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -65,6 +65,7 @@
 // Work that can start must not wait for longer than maxWait while the cell is calm, and no job may be
 // lost or be shown as failed without cause.
 func TestWorkThatCanStartDoesNotWait(t *testing.T) {
+	t.Parallel()
 	for seed := range seedCount() / 4 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runWaiting(t, seed) })
 	}
@@ -308,7 +309,7 @@
 		if r := o.core.State(id); r.Outcome != cell.Found || r.State.Final() {
 			continue
 		}
-		spec := specs[sim.t.Name()+id]
+		spec := sim.specs[id]
 		for step := range spec.Steps {
 			w.checkStep(id, &spec, step, free, full)
 		}
@@ -466,7 +467,7 @@
 // and final unless there is no room for it.
 func (w *waitingCheck) checkFinal(id string) {
 	sim := w.sim
-	spec := specs[sim.t.Name()+id]
+	spec := sim.specs[id]
 	r := w.owner().core.State(id)
 	if r.Outcome != cell.Found {
 		return // accepted jobs are checked all the while
