--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -387,7 +387,7 @@
 		case late > 0:
 			receivedBy := x.incarnation
 			sim.schedule(late, func() {
-				if x.incarnation == receivedBy && !x.down {
+				if (x.incarnation == receivedBy || sim.lateOutlivesProcess) && !x.down {
 					x.execute(sim, cmd)
 				}
 			})
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -26,6 +27,19 @@
 	assert.Assert(t, failed > 0)
 }
 
+// A start without a response that is carried out by the next incarnation of its executor must not run a task twice. See
+// KNOWN-RED.txt.
+func TestRandomFaultsWithStartsThatOutliveTheProcess(t *testing.T) {
+	for seed := range seedCount() {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.lateOutlivesProcess = true
+			sim.runFaults(0)
+			sim.expectNoViolations()
+		})
+	}
+}
+
 // restartSoonCut makes executors crash, start again under their ID and address, and be partitioned soon after: one, or
 // a whole failure domain. Beside that the owner may change, responses get lost, or the executors drain. It returns the
 // owner afterwards.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -65,6 +65,9 @@
 	// later.
 	lateCommandShare float64
 
+	// lateOutlivesProcess makes such commands reach the next incarnation of an executor that restarts meanwhile.
+	lateOutlivesProcess bool
+
 	// pollDelay is how long the responses to polls take longer than usual.
 	pollDelay time.Duration
 
