Leave jobs that had ended when they were restored out of the number of waiting ones

Restored jobs that have ended are not counted as waiting, but count as not started.

TestEndsOfEndedJobsLeaveTheNumberOfWaitingJobs fails before: -1 jobs wait.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -1,8 +1,6 @@
 package cell
 
-import (
-	"time"
-)
+import "time"
 
 // maxHandedOverLeases limits the leases that an owner tells its successor of.
 const maxHandedOverLeases = 2000
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -112,3 +112,19 @@
 		sim.expectNoViolations()
 	}
 }
+
+// Guards against a number of waiting jobs that is too low: an executor lists the end of a run of a job that had ended before
+// this owner took over.
+func TestEndsOfEndedJobsLeaveTheNumberOfWaitingJobs(t *testing.T) {
+	sim, o := newIdleCell(t, 1)
+	sim.submit(o, "ended", singleStep(testQueue, 2, 300*time.Millisecond))
+	sim.advance(2 * time.Second)
+	assert.Equal(t, o.core.State("ended").State, flow.Completed)
+	x := sim.execs["x0"]
+	x.lastSequence++
+	x.ends = append(x.ends, fleet.End{Sequence: x.lastSequence, Task: fleet.TaskID{Job: "ended"}, Number: 1, Kind: fleet.Done})
+	o.dead = true
+	o = sim.takeOver()
+	sim.advance(time.Second)
+	assert.Equal(t, o.core.PendingJobs()[testQueue], int64(0))
+}
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -12,7 +12,6 @@
 )
 
 const (
-
 	// ticketMargin is how long before its expiry a ticket is no longer used, since the start has to
 	// arrive while the ticket is valid.
 	ticketMargin = 150 * time.Millisecond
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -180,8 +180,8 @@
 
 // markStarted records that a task of a job has started, as an executor has confirmed.
 func (c *Core) markStarted(now time.Time, j *job) {
-	if j.Started {
-		return
+	if j.Started || j.State.Final() {
+		return // a job that had ended when it was restored is not counted
 	}
 	j.Started = true
 	c.pendingJobs[j.Spec.Queue]--
