Read teams, public queues and bounds of the settings

Configurations of the platform carry teams with keys, weights and quotas, and queues that need no key; none of it was read. Decode them entry by entry, so that a malformed team leaves the others in force, keep hashes of the keys only, and store a job's team with the job. Nothing uses any of it yet.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"crypto/sha256"
 	"slices"
 	"time"
+
+	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
 // Queue accepts jobs of one kind from clients.
@@ -21,6 +24,26 @@
 	Timeout time.Duration
 	// Advice is set when tasks need a ticket from the policy service for their executor.
 	Advice *Advice
+	// Public is set when calls need no key. Jobs of a public queue belong to no team.
+	Public bool
+}
+
+// KeyHash is the SHA-256 hash of a key. Keys themselves are not kept.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Team shares the executors with other teams.
+type Team struct {
+	Name string
+	// Weight is the team's share when there is less room than demand, and the number of jobs a second
+	// that it may expect to be accepted then.
+	Weight float64
+	// Limit is the most that the team may have running on all executors; 0 means no limit.
+	Limit place.Resources
+	// KeyHashes are the hashes of the keys that identify the team's calls.
+	KeyHashes []KeyHash
 }
 
 // Advice describes the calls to the policy service for one queue.
@@ -56,6 +79,9 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+	Teams    []Team
+	// Problems describes malformed entries that were left out.
+	Problems []string
 	// Source is the document as stored.
 	Source []byte
 }
@@ -70,6 +96,16 @@
 	return nil
 }
 
+// Team returns the team with the given name, or nil.
+func (c *Config) Team(name string) *Team {
+	for i := range c.Teams {
+		if c.Teams[i].Name == name {
+			return &c.Teams[i]
+		}
+	}
+	return nil
+}
+
 // ServesUrgent reports whether a queue of the highest priority uses the service.
 func (c *Config) ServesUrgent(service string) bool {
 	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service && q.Priority == 0 })
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -15,7 +15,7 @@
 // Record returns the spec in the form in which it is stored and sent between instances.
 func (s *Spec) Record() *wire.JobRecord {
 	r := &wire.JobRecord{
-		Queue: s.Queue, Text: s.Text, PeriodMs: s.Period.Milliseconds(), Times: int64(s.Occurrences),
+		Queue: s.Queue, Team: s.Team, Text: s.Text, PeriodMs: s.Period.Milliseconds(), Times: int64(s.Occurrences),
 		AcceptedMs: s.Accepted.UnixMilli(),
 	}
 	if s.Occurrences > 0 {
@@ -85,7 +85,7 @@
 // SpecFromRecord is the inverse of Record.
 func SpecFromRecord(r *wire.JobRecord) Spec {
 	s := Spec{
-		Queue: r.GetQueue(), Text: r.GetText(), Period: fleet.Millis(r.GetPeriodMs()),
+		Queue: r.GetQueue(), Team: r.GetTeam(), Text: r.GetText(), Period: fleet.Millis(r.GetPeriodMs()),
 		Occurrences: int(r.GetTimes()), Accepted: UnixMilli(r.GetAcceptedMs()),
 		AcceptedBy: AcceptedBy(r),
 	}
--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -44,6 +44,8 @@
 // Spec is a job as submitted by a client.
 type Spec struct {
 	Queue string
+	// Team is the team that submitted the job; empty if none is known.
+	Team  string
 	Text  string
 	Steps []StepSpec
 	// FirstDue, Period and Occurrences describe a periodic job, whose occurrence k is due at
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -271,7 +271,11 @@
 				former = old.Version
 			}
 			h.Log.WithField("version", config.Version).WithField("former", former).WithField("from", source).
-				WithField("queues", len(config.Queues)).Info("configuration activated")
+				WithField("queues", len(config.Queues)).WithField("teams", len(config.Teams)).Info("configuration activated")
+			if len(config.Problems) > 0 {
+				h.Log.WithField("version", config.Version).WithField("entries", len(config.Problems)).
+					WithField("first", config.Problems[0]).Warn("malformed entries of the configuration left out")
+			}
 			return
 		}
 	}
