Ask for the key of a team on queues that are not public

Configurations list teams with keys, but every request was served whoever sent it. The job gets the team of the key. A configuration without teams asks for no key; one whose teams are all malformed asks for keys, so that a mistake opens no queue.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -80,6 +80,9 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team
+	// KeysRequired is set when calls on queues that are not public need the key of a team: the document lists teams,
+	// even if all of them are malformed.
+	KeysRequired bool
 	// Problems describes malformed entries that were left out.
 	Problems []string
 	// Source is the document as stored.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/daisyrack/daisyrack/internal/fleet"
 	"github.com/daisyrack/daisyrack/internal/ledger"
 	"github.com/daisyrack/daisyrack/internal/relay"
+	"github.com/daisyrack/daisyrack/internal/team"
 	"github.com/daisyrack/daisyrack/pkg/peer"
 	"github.com/daisyrack/daisyrack/pkg/wire"
 )
@@ -94,7 +95,7 @@
 	// followClient sends the follow calls. It has connections of its own, so that other calls to a
 	// failed instance do not delay it.
 	followClient peer.Client
-	activeConfig atomic.Pointer[fleet.Config]
+	active       atomic.Pointer[activeConfig]
 	// driver runs the current term of this instance as owner; nil while it is a follower.
 	driver atomic.Pointer[cell.Driver]
 
@@ -187,7 +188,10 @@
 
 // Config returns the active configuration, or nil if there is none yet.
 func (h *Host) Config() *fleet.Config {
-	return h.activeConfig.Load()
+	if a := h.active.Load(); a != nil {
+		return a.config
+	}
+	return nil
 }
 
 // Ready reports whether clients should use this instance: it has a configuration, is not shutting
@@ -260,15 +264,19 @@
 
 // applyConfig activates a configuration if it is newer than the active one.
 func (h *Host) applyConfig(config *fleet.Config, source string) {
+	next := &activeConfig{config: config}
 	for {
-		old := h.activeConfig.Load()
-		if old != nil && old.Version >= config.Version {
+		old := h.active.Load()
+		if old != nil && old.config.Version >= config.Version {
 			return
 		}
-		if h.activeConfig.CompareAndSwap(old, config) {
+		if next.directory == nil {
+			next.directory = team.NewDirectory(config.Teams)
+		}
+		if h.active.CompareAndSwap(old, next) {
 			former := int64(0)
 			if old != nil {
-				former = old.Version
+				former = old.config.Version
 			}
 			h.Log.WithField("version", config.Version).WithField("former", former).WithField("from", source).
 				WithField("queues", len(config.Queues)).WithField("teams", len(config.Teams)).Info("configuration activated")
@@ -276,6 +284,7 @@
 				h.Log.WithField("version", config.Version).WithField("entries", len(config.Problems)).
 					WithField("first", config.Problems[0]).Warn("malformed entries of the configuration left out")
 			}
+			h.logConflicts(next)
 			return
 		}
 	}
