Hold teams to their quotas

Cause: teams of the configuration have quotas, and nothing bounded what a team has running.

Change: the owner counts each run for its team from the decision to start it until its end is listed or it is proven not to run, and starts nothing that would exceed the quota. After a change of the owner a team also uses what may run on executors that are not claimed, bounded by what these can hold; the rows of a team's ended job are kept until its runs have ended, so that a successor can count and stop them. Steps held back take no place in a pass, ask the policy service for nothing and do not count as waiting. Metrics by team, one log line when a team reaches its quota and one when it leaves it.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -116,7 +116,7 @@
 		if slow && fastOnly {
 			continue
 		}
-		if !c.leavesReserve(st, 1) {
+		if !c.leavesReserve(st, 1) || st.holdsForQuota() {
 			continue
 		}
 		if req := c.newAdviceRequest(now, st); req != nil {
@@ -232,7 +232,7 @@
 		}
 		options = append(options, option{ex: ex, fits: fits, allowed: ticketValid, penalty: penalty(st, ex) + c.recordingPenalty(st.job, ex)})
 	}
-	need := len(st.pending)
+	need := st.quotaRoom()
 	if placeable >= need {
 		return nil
 	}
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -105,6 +105,7 @@
 		}
 	}
 	c.countRun(r, 1)
+	c.countForTeam(r, 1)
 	r.step.runsOn[r.ex.ID]++
 }
 
@@ -117,6 +118,7 @@
 	c.allocator.Release(r.key)
 	c.markFreed(r.ex)
 	c.countRun(r, -1)
+	c.countForTeam(r, -1)
 	r.step.runsOn[r.ex.ID]--
 	runs := r.job.runs[r.task]
 	for i := range runs {
@@ -130,6 +132,7 @@
 	} else {
 		r.job.runs[r.task] = runs
 	}
+	c.releaseEnded(r.job)
 }
 
 // stopRun stops a run. Its capacity is released when the executor lists the run as ended.
@@ -199,6 +202,8 @@
 		return "executor has shrunk"
 	case r.ex.Draining:
 		return "executor is draining"
+	case r.job.team != nil && r.job.team.quota.Exceeded() && !r.mayHaveRun():
+		return "quota of the team was lowered"
 	}
 	return ""
 }
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -141,6 +141,15 @@
 	// storeRefuses is set while the store refuses commits.
 	storeRefuses bool
 
+	// teams holds the configured teams by name.
+	teams map[string]*team
+	// assumedOn holds, by executor, the jobs of teams whose tasks earlier owners may have running there, until it is
+	// claimed; staleAssumptions are the jobs for which that has changed.
+	assumedOn        map[string][]*job
+	staleAssumptions map[*job]bool
+	// largest is the most that any executor has had of each resource.
+	largest place.Resources
+
 	commands []Command
 	// heldStarts are starts that wait until ownership is confirmed again or the executor has renewed its
 	// entry.
@@ -180,6 +189,10 @@
 type job struct {
 	*flow.Job
 	priority int
+	// team is the team that it belongs to; nil if it has none that is configured.
+	team *team
+	// assumption is what may run without the knowledge of this owner; nil if that is nothing.
+	assumption *assumption
 	// accepted is set once the job is stored.
 	accepted bool
 	// storedState is the final state once that is stored, Pending before.
@@ -291,9 +304,11 @@
 	Absent
 	// NotOwner means that another instance owns the cell.
 	NotOwner
+	// TooMany means that the job was not accepted, and will never run, because of what its team may run.
+	TooMany
 )
 
-var outcomeNames = [...]string{"accepted", "rejected", "unknown", "found", "absent", "not_owner"}
+var outcomeNames = [...]string{"accepted", "rejected", "unknown", "found", "absent", "not_owner", "too_many"}
 
 // String returns the name used between instances and in logs.
 func (o Outcome) String() string {
@@ -331,12 +346,16 @@
 	c.presumedOn = make(map[string][]flow.RunID)
 	c.crashedAt = make(map[string][]time.Time)
 	c.held = make(map[*executor]bool)
+	c.assumedOn = make(map[string][]*job)
+	c.staleAssumptions = make(map[*job]bool)
+	c.setTeams()
 	c.writes.prepare()
 }
 
 // SetConfig applies a newer configuration.
 func (c *Core) SetConfig(now time.Time, cfg *fleet.Config) {
 	c.config = cfg
+	c.setTeams()
 	for service, p := range c.pools {
 		p.servesUrgent = cfg.ServesUrgent(service)
 	}
@@ -456,6 +475,8 @@
 		c.checkLease(now, ex)
 	}
 	c.unblockOverdue(now)
+	c.endOverdueAssumptions(now)
+	c.checkQuotas(now)
 	c.expireCrashes(now)
 	c.updateWaiting(now)
 	c.expireHolds(now)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -198,6 +198,9 @@
 	ex.listed, ex.counted = true, true
 	c.countExecutor(ex, 1)
 	c.allocator.SetWorker(place.Worker{Name: e.ID, Rack: e.Rack, Capacity: e.Capacity})
+	c.largest = c.largest.Max(e.Capacity.Min(place.Resources{
+		CPUMillis: place.MaxCPUMillis, MemoryMB: place.MaxMemoryMB, Accelerators: place.MaxAccelerators,
+	}))
 	c.updateCordon(ex)
 	if leaving {
 		c.Log.WithField("executor", e.ID).WithField("remaining_ms", e.MinRemaining.Milliseconds()).
--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -254,6 +254,7 @@
 	if !spec.Reserved().Fits(x.countedCapacity(sim).Sub(used)) {
 		sim.addViolation("capacity of %s exceeded by %s", x.ID, runKey(s.Task, s.Number))
 	}
+	sim.checkQuota(s.Task)
 	for _, sp := range sim.history[s.Task] {
 		if sp.open && !spec.AllowConcurrentRuns {
 			sim.addViolation("task %s runs twice: run %d on %s and run %d on %s", runKey(s.Task, s.Number), sp.number, sp.executor, s.Number, x.ID)
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -40,6 +40,10 @@
 	if len(st.pending) < st.spec.Count || !c.leavesReserve(st, st.spec.Count) {
 		return
 	}
+	if st.holdsForQuota() {
+		c.holdForQuota(now, st)
+		return
+	}
 	number := int64(0)
 	for _, index := range st.pending {
 		number = max(number, c.nextRunNumber(st.job, st.taskID(index)))
--- a/internal/cell/pass.go
+++ b/internal/cell/pass.go
@@ -28,6 +28,9 @@
 
 // visit reports whether a pass goes through the next step.
 func (c *Core) visit(now time.Time, p *pass, st *stepState) bool {
+	if c.skipsForQuota(now, st) {
+		return false
+	}
 	inFront := p.position < frontSteps
 	p.position++
 	if !inFront && !st.fullScan {
@@ -49,6 +52,7 @@
 // again on executors that have free capacity since, or on all when it has new tickets or tasks.
 func (c *Core) Schedule(now time.Time) {
 	c.Stats.Passes++
+	c.refreshAssumptions()
 	freed := c.freed
 	c.freed = nil
 	for _, ex := range freed {
@@ -126,6 +130,10 @@
 			st.skipped = true
 			return
 		}
+		if st.holdsForQuota() {
+			c.holdForQuota(now, st)
+			return
+		}
 		suspect := st.isSuspect(index)
 		number := c.nextRunNumber(st.job, st.taskID(index))
 		ex := c.allocate(now, st, index, number, candidates)
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -404,6 +404,10 @@
 	if j != nil {
 		c.openStarted(now, j, listed.Task)
 	}
+	if j != nil && j.Task(listed.Task) == nil && j.hasRunsOfEnded(listed.Task) {
+		c.stopRun(now, c.adopt(now, ex, j, listed), "job has ended") // it counts for its team until its end is listed
+		return
+	}
 	if j == nil || j.Task(listed.Task) == nil {
 		c.stopUnknownRun(ex, listed)
 		return
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -32,6 +32,7 @@
 	if ex := c.executors[id]; ex != nil {
 		ex.runsKnown = true
 	}
+	c.endAssumptions(id)
 	for _, st := range c.blocked[id] {
 		delete(st.unclaimed, id)
 		if len(st.unclaimed) == 0 {
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -45,13 +45,13 @@
 				continue
 			}
 		}
-		if j := c.jobs[id]; !j.State.Final() {
+		if j := c.jobs[id]; !j.State.Final() || j.assumption != nil {
 			e.page.liveEntries++
 			j.specPage = e.page
 		}
 	}
 	for _, e := range currentPlaces(places) {
-		if j := c.jobs[e.entry.GetJob()]; j != nil && !j.State.Final() {
+		if j := c.jobs[e.entry.GetJob()]; j != nil && (!j.State.Final() || j.assumption != nil) {
 			c.addPlacesPage(e.page, j, false)
 		}
 	}
@@ -207,6 +207,7 @@
 	flowJob.AddExecutors(executors)
 	j := c.newJob(flowJob, q)
 	j.accepted = true
+	c.assumeRuns(now, j)
 	if j.State.Final() {
 		j.storedState = j.State
 		return nil
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -106,6 +106,9 @@
 	if r.speculated || r.stopping || st == nil || st.spec.Gang || len(r.job.runs[r.task]) > 1 || r.job.crashes(r.task) > 1 {
 		return
 	}
+	if t := r.job.team; t != nil && !t.quota.Allows(st.spec.Need, 1) {
+		return // the room of the team is for tasks that do not run yet
+	}
 	r.speculated = true
 	c.Stats.SpeculativeRuns++
 	st.addPending(r.task.Index)
--- a/internal/cell/shed.go
+++ b/internal/cell/shed.go
@@ -45,6 +45,9 @@
 		if st.queue.Name != q.Name || st.job.Started || st.spec.LongRunning || st.job.Spec.Occurrences > 0 {
 			continue // the objective of a periodic job does not count from its acceptance
 		}
+		if st.holdsForQuota() {
+			continue // another team need not wait for it
+		}
 		latestStart := st.job.sloDeadline.Add(-st.job.Spec.CriticalPath())
 		return now.Sub(st.job.Spec.Accepted), now.After(latestStart) // the first one in scheduling order
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -122,6 +122,10 @@
 	// sentCommands are the commands of all owners.
 	sentCommands []cell.Command
 
+	// nextTeam returns the team of the next job; it may be nil. limits are the quotas that teams have had.
+	nextTeam func() string
+	limits   map[string][]room
+
 	history    map[fleet.TaskID][]*span
 	violations []string
 
@@ -385,6 +389,9 @@
 // submit submits a job to an owner. The returned reply is set once the owner replies.
 func (sim *simulation) submit(o *owner, id string, spec flow.Spec) *cell.Reply {
 	spec.Accepted = sim.now
+	if sim.nextTeam != nil && spec.Team == "" {
+		spec.Team = sim.nextTeam()
+	}
 	sim.specs[id] = spec
 	if sim.submittedTo[spec.Queue] == nil {
 		sim.submittedTo[spec.Queue] = make(map[string]bool)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -44,6 +44,12 @@
 		reply(Reply{Outcome: Rejected, Reason: "the backlog of the queue cannot be done in time", RetryAfter: retryAfter})
 		return
 	}
+	if c.gangExceedsQuota(&spec) {
+		c.Stats.Rejected++
+		c.Log.WithField("job", id).WithField("queue", q.Name).WithField("team", spec.Team).Info("job rejected: gang exceeds the quota of its team")
+		reply(Reply{Outcome: TooMany, Reason: "the tasks of a gang exceed the quota of the team", RetryAfter: gangQuotaRetryAfter})
+		return
+	}
 	// The clock of the instance that received the job may be wrong, and jobs are ordered by this time.
 	spec.Accepted = now
 	spec.AcceptedBy = &flow.Acceptance{Queue: *q, ConfigVersion: c.config.Version}
@@ -105,6 +111,7 @@
 	if q != nil {
 		j.setQueue(q)
 	}
+	j.team = c.teams[j.Spec.Team]
 	c.jobs[j.ID] = j
 	j.homeDomain = c.domainWithMostFreeCPU()
 	if !j.Started && !j.State.Final() {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -57,7 +57,7 @@
 	}
 	c.waitUpdatedAt = now
 	for _, st := range c.runnable {
-		if !st.job.accepted || len(st.job.runs) > 0 && !st.spec.LongRunning {
+		if !st.job.accepted || st.holdsForQuota() || len(st.job.runs) > 0 && !st.spec.LongRunning {
 			st.waitingSince, st.waitReported, st.impatient = time.Time{}, false, false
 			continue
 		}
--- a/internal/cell/writes.go
+++ b/internal/cell/writes.go
@@ -371,9 +371,7 @@
 	for i, j := range b.final {
 		j.accepted = true
 		j.storedState = b.finalStates[i]
-		c.releasePage(j.specPage)
-		j.specPage = nil
-		c.releasePlaces(j)
+		c.releaseEnded(j)
 		c.Log.WithField("job", j.ID).WithField("state", j.storedState.String()).
 			WithField("took_ms", now.Sub(j.Spec.Accepted).Milliseconds()).
 			WithField("late_ms", now.Sub(j.sloDeadline).Milliseconds()).
@@ -430,7 +428,7 @@
 	}
 	pw.lastExpiry = now
 	for id, j := range c.jobs {
-		if j.storedState.Final() && len(j.runs) == 0 && now.Sub(j.Ended) > endedJobRetention && j.pageCount <= 1 {
+		if j.storedState.Final() && !j.mayHaveRuns() && now.Sub(j.Ended) > endedJobRetention && j.pageCount <= 1 {
 			delete(c.jobs, id)
 			c.releasePages(j.progressPages)
 		}
--- a/internal/flow/job.go
+++ b/internal/flow/job.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -239,6 +240,11 @@
 	return unfinished
 }
 
+// OpenOccurrences returns the numbers of the open occurrences, in no particular order.
+func (j *Job) OpenOccurrences() []int {
+	return slices.Collect(maps.Keys(j.openOccurrences))
+}
+
 // AddExecutors records executors on which tasks of the job may be started from now on, and
 // reports whether any of them is new. A later owner looks for runs of the job only on the
 // recorded executors.
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -68,4 +68,5 @@
 	for _, c := range counters {
 		_, _ = fmt.Fprintf(w, "%s %d\n", c.name, c.value)
 	}
+	writeTeams(w, d.Teams(ctx))
 }
