Refuse keys while the configuration is not confirmed

An instance that is cut off, frozen or told late accepted a removed key for as long as it had the old configuration. Each instance now keeps the latest time at which no newer version is known to have existed, counted on CLOCK_BOOTTIME from when the confirming read was sent. With bounds.strict_revoke a key is accepted while that is younger than revoke_ms less a twentieth, otherwise the request gets 503 with Retry-After 1 and its connection is closed; readiness is withdrawn 2.2 s earlier. An unknown key gets 503 instead of 401 while the configuration may be older than config_apply_ms.

The owner checks the configuration every 0.5 s with a feed that returns at once, and passes the time on by the clock of the store in each FollowReply. Followers relate that clock to theirs by a read of their own every 15 s, and read themselves, through other instances if need be, when the confirmation is 1.2 s old. Deployments without teams and without strict revocation read as before.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -239,15 +239,15 @@
 		h.queueLengths[n.GetQueue()] = n.GetWaiting()
 	}
 	h.mu.Unlock()
-	if len(r.GetConfig()) == 0 {
-		return
-	}
-	config, err := h.DecodeConfig(r.GetConfig())
-	if err != nil {
-		h.Log.WithError(err).WithField("owner", owner).Error("configuration received from the owner is invalid")
-		return
+	if len(r.GetConfig()) > 0 {
+		config, err := h.DecodeConfig(r.GetConfig())
+		if err != nil {
+			h.Log.WithError(err).WithField("owner", owner).Error("configuration received from the owner is invalid")
+			return
+		}
+		h.applyConfig(config, "owner")
 	}
-	h.applyConfig(config, "owner")
+	h.confirmFromOwner(r)
 }
 
 // contend reads the owner's row once and takes the cell over if the row is not renewed. It returns
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -138,7 +138,7 @@
 			behindSince = time.Now()
 		}
 		if time.Since(behindSince) < configPushDelay {
-			reply.Config, reply.ConfigVersion = nil, f.GetConfigVersion()
+			reply.Config, reply.ConfigVersion, reply.ConfigConfirmedMs = nil, f.GetConfigVersion(), 0
 		}
 		if d != nil && counts != nil && !reply.GetCountsUnchanged() && maps.Equal(counts, d.LastPendingJobs()) {
 			reply.Counts, reply.CountsUnchanged = nil, true
@@ -196,12 +196,16 @@
 		}
 		return &wire.FollowReply{OwnerAddress: owner, Resigned: h.Leaving() || h.recentlyYielded()}
 	}
+	confirmedAt, confirmed := h.freshness.StoreClock() // holds for each configuration that is loaded later
 	config := h.Config()
 	h.mu.Lock()
 	live := h.liveFollowers()
 	followers, hash := live.addresses, live.hash
 	r := &wire.FollowReply{Epoch: max(h.ownerEpoch, 1), ConfigVersion: config.Version, StoreAway: !d.StoreReachable()}
 	h.mu.Unlock()
+	if confirmed {
+		r.ConfigConfirmedMs = max(confirmedAt.Milliseconds(), 0)
+	}
 	r.FollowersHash = hash
 	if r.GetFollowersHash() != f.GetFollowersHash() {
 		r.Followers = followers
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,6 +80,14 @@
 	// did not change.
 	WatchConfig func(ctx context.Context, after int64) (source []byte, version int64, err error)
 
+	// CheckConfig returns the configuration at once if it was written after the given version of the store. It makes
+	// the call through another instance if the store does not serve this one.
+	CheckConfig func(ctx context.Context, after int64) (ConfigRead, error)
+	// BootTime returns the time since the start of the machine. It includes suspensions and never jumps.
+	BootTime func() time.Duration
+	// KeyLimits are the times within which changes of keys take effect.
+	KeyLimits team.Limits
+
 	// Advise calls the policy service from this instance.
 	Advise func(ctx context.Context, step fleet.StepID, executors []string) ([]fleet.Ticket, time.Duration, error)
 
@@ -96,6 +104,10 @@
 	// failed instance do not delay it.
 	followClient peer.Client
 	active       atomic.Pointer[activeConfig]
+	// freshness tells how recent the active configuration is, configPosition up to where the store was read for it;
+	// nil if it was not.
+	freshness      team.Freshness
+	configPosition atomic.Pointer[configPosition]
 	// driver runs the current term of this instance as owner; nil while it is a follower.
 	driver atomic.Pointer[cell.Driver]
 
@@ -194,10 +206,10 @@
 	return nil
 }
 
-// Ready reports whether clients should use this instance: it has a configuration, is not shutting
-// down, and can reach the owner of the cell.
+// Ready reports whether clients should use this instance: it has a configuration that is recent enough
+// for keys, is not shutting down, and can reach the owner of the cell.
 func (h *Host) Ready() bool {
-	if h.Config() == nil {
+	if h.Config() == nil || !h.configIsRecent() {
 		return false
 	}
 	h.mu.Lock()
@@ -293,8 +305,10 @@
 // FollowConfig watches the configuration in the store and activates new versions until ctx ends.
 func (h *Host) FollowConfig(ctx context.Context) error {
 	var version int64
+	var position configPosition
 	failing := false
 	for ctx.Err() == nil {
+		sentAt := h.BootTime()
 		source, next, err := h.WatchConfig(ctx, version)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
@@ -302,7 +316,7 @@
 			}
 			failing = true
 			sleep(ctx, configRetryInterval)
-			version = 0
+			version, position = 0, configPosition{}
 			continue
 		}
 		if failing {
@@ -313,15 +327,10 @@
 		if version == 0 {
 			sleep(ctx, configRetryInterval) // an empty store responds at once instead of waiting for a change
 		}
-		if source == nil {
-			continue
-		}
-		config, err := h.DecodeConfig(source)
-		if err != nil {
-			h.Log.WithError(err).Error("configuration in the store is invalid; the former one stays active")
-			continue
+		position = h.applyRead(position, source, version)
+		if position.valid {
+			h.freshness.ConfirmSentAt(sentAt)
 		}
-		h.applyConfig(config, "store")
 	}
 	return nil
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -120,6 +120,9 @@
 	return p.follows
 }
 
+// hostsStarted is the origin of the clock of the instances under test.
+var hostsStarted = time.Now()
+
 // startHost starts the instance under test.
 func startHost(t *testing.T, r *rowStore, weight int64) *host.Host {
 	t.Helper()
@@ -139,6 +142,7 @@
 			}
 			return []byte("policy"), 1, ctx.Err()
 		},
+		BootTime: func() time.Duration { return time.Since(hostsStarted) },
 	}
 	h.NewDriver = func() *cell.Driver {
 		d := &cell.Driver{Ledger: h.Ledger, Log: h.Log, Lease: time.Second}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"time"
+
+	"github.com/daisyrack/daisyrack/internal/team"
 )
 
 // metricsTimeout is how long to wait for the owner's event loop to return its counters.
@@ -20,11 +23,22 @@
 	if config := h.Config(); config != nil {
 		version = config.Version
 	}
+	teams, keys := 0, 0
+	if a := h.active.Load(); a != nil {
+		teams, keys = len(a.config.Teams), a.directory.Len()
+	}
+	age := math.Inf(1)
+	if d := h.freshness.Confirmation().Age(h.BootTime()); d != team.NeverConfirmed {
+		age = d.Seconds()
+	}
 	lines := []struct {
 		name  string
 		value float64
 	}{
 		{"config_version", float64(version)},
+		{"config_confirmed_age_seconds", age},
+		{"teams", float64(teams)},
+		{"team_keys", float64(keys)},
 		{"owner_heard_seconds", time.Since(lastHealthy).Seconds()},
 	}
 	for _, l := range lines {
--- a/internal/team/decide.go
+++ b/internal/team/decide.go
@@ -1,5 +1,7 @@
 package team
 
+import "time"
+
 // Verdict tells whether a request may be served.
 type Verdict uint8
 
@@ -9,6 +11,10 @@
 	Allowed Verdict = iota
 	// NoTeam means that the key identifies no team.
 	NoTeam
+	// Unconfirmed means that a newer configuration may have removed the key too long ago.
+	Unconfirmed
+	// UnconfirmedKey means that the key identifies no team, but a newer configuration may have added it.
+	UnconfirmedKey
 )
 
 // Decision is the decision on one request.
@@ -16,12 +22,20 @@
 	Verdict Verdict
 	// Team is the team of an allowed request; empty if no key is needed.
 	Team string
+	// Age is the age of the confirmation of the configuration.
+	Age time.Duration
 }
 
-// Decide decides on a request with the given key.
-func Decide(d *Directory, key string) Decision {
-	if name, ok := d.Lookup(key); ok {
-		return Decision{Team: name}
+// Decide decides on a request with the given key, by a configuration whose confirmation has the given age.
+func (l Limits) Decide(d *Directory, key string, age time.Duration) Decision {
+	name, known := d.Lookup(key)
+	switch {
+	case !l.acceptsKeys(age):
+		return Decision{Verdict: Unconfirmed, Age: age}
+	case known:
+		return Decision{Team: name, Age: age}
+	case l.rejectsKeys(age):
+		return Decision{Verdict: NoTeam, Age: age}
 	}
-	return Decision{Verdict: NoTeam}
+	return Decision{Verdict: UnconfirmedKey, Age: age}
 }
