--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -187,6 +187,22 @@
 	return longest
 }
 
+// ChainAfter returns the estimated duration of the longest chain of steps that depend on a step.
+func (s *Spec) ChainAfter(step int) time.Duration {
+	ends := make(map[int]time.Duration)
+	ends[step] = 0
+	var longest time.Duration
+	for i := step + 1; i < len(s.Steps); i++ {
+		for _, dep := range s.Steps[i].DependsOn {
+			if begin, follows := ends[dep]; follows {
+				ends[i] = max(ends[i], begin+min(s.Steps[i].Estimate, MaxEstimate))
+				longest = max(longest, ends[i])
+			}
+		}
+	}
+	return longest
+}
+
 // WidestStep returns the number of tasks of the step that has the most.
 func (s *Spec) WidestStep() int {
 	widest := 0
