Wait for near places where that gains time

Where bounds.far_x is above 1, such steps now start in near places first, and their other tasks wait for as long as the decision of internal/near says, without holding room. They keep tickets for near executors without room, other steps prefer racks that nobody waits for, and a gang starts on one rack if that has room for all of it. The penalty of other racks and the average slowdown of an executor use the known slowdown; a run elsewhere no longer makes its executor count as slow, or gets a second run for it. The choice of a rack for a step counts only executors of its service.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -201,14 +201,14 @@
 	placeable := 0
 	var options []option
 	neededCPU := st.spec.Reserved().CPUMillis
-	slow := st.hasSlowAdvice()
+	slow, declines := st.hasSlowAdvice(), st.declinesElsewhere(now)
 	for _, roomy := range c.roomyExecutors(now, st) {
 		if roomy.free.CPUMillis < neededCPU {
 			continue
 		}
 		ex := roomy.executor
 		id := ex.ID
-		if !st.matches(ex) || ex.isKeptAway(now) && !st.impatient {
+		if !st.matches(ex) || ex.isKeptAway(now) && !st.impatient || declines && !st.isNear(ex) {
 			continue
 		}
 		t, ticketValid := st.tickets[id]
@@ -236,7 +236,7 @@
 	if placeable >= need {
 		return nil
 	}
-	standby := c.standbyExecutors(now, st, renewBefore)
+	standby := append(c.standbyExecutors(now, st, renewBefore), c.nearStandby(now, st, renewBefore)...)
 	if len(options)+len(standby) == 0 || st.spec.Gang && !c.gangFits(st, placeable, len(options)) {
 		return nil
 	}
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -46,6 +46,10 @@
 	// may have shrunk since. 0 means for ever.
 	EntryValidity time.Duration
 
+	// RemoteSlowdown is how many times as long tasks take away from their data or from the rest of their step; steps
+	// wait for near places if it is above 1.
+	RemoteSlowdown float64
+
 	// TakeoverAt is when this instance became the owner.
 	TakeoverAt time.Time
 
@@ -148,6 +152,7 @@
 	writes        pendingWrites
 	pendingJobs   map[string]int64
 	allowedShares map[string]*allowedShare
+	near          nearPlacement
 	Stats         Counters
 }
 
@@ -160,6 +165,9 @@
 	Crashes, RepeatedCrashes, Trials, GivenUp        int64
 	Throttled, SpeculativeRuns, StalledRuns          int64
 	StepsWaited                                      int64
+	// NearWaits counts the waits for near places, NearGivenUp those that were given up. NearPlaces counts the tasks
+	// that got a place by waiting, NearElsewhere those that started away from their rack.
+	NearWaits, NearGivenUp, NearPlaces, NearElsewhere int64
 	// Passes is the number of scheduling passes, StepsVisited that of the steps which they went through.
 	Passes, StepsVisited int64
 }
@@ -458,6 +466,7 @@
 	c.unblockOverdue(now)
 	c.expireCrashes(now)
 	c.updateWaiting(now)
+	c.updateNearWaits(now)
 	c.expireHolds(now)
 	c.reportWaiting(now)
 	if c.StoreUnavailable(now) {
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -81,6 +81,8 @@
 	Lease  time.Duration
 	// EntryValidity is the field of Core.
 	EntryValidity time.Duration
+	// RemoteSlowdown is the field of Core.
+	RemoteSlowdown float64
 
 	Start    func(ctx context.Context, e fleet.Executor, cmd fleet.Start) fleet.Response
 	Stop     func(ctx context.Context, e fleet.Executor, cmd fleet.Stop) fleet.Response
@@ -214,6 +216,7 @@
 	d.history = d.Ledger.History()
 	d.core = &Core{
 		Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, PriorLeases: d.priorLeases(), Log: d.Log,
+		RemoteSlowdown: d.RemoteSlowdown,
 	}
 	d.config = d.Config()
 	d.core.Init(d.config, sent)
--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisyrack/daisyrack/internal/fleet"
+	"github.com/daisyrack/daisyrack/internal/near"
 	"github.com/daisyrack/daisyrack/pkg/place"
 )
 
@@ -155,6 +156,12 @@
 	holds map[*stepState]time.Time
 	// slowdown is the average run time on this executor relative to the estimates; 1 is normal.
 	slowdown float64
+	// freedCPU is the CPU in millicores of runs that end here, takenCPU that of tasks which other steps start here
+	// while steps wait for the rack; wanted is set meanwhile.
+	freedCPU, takenCPU near.Rate
+	wanted             bool
+	// relativeSlowdown is slowdown relative to the average of all executors, as of Core.near.racksAt; 0 if unknown.
+	relativeSlowdown float64
 }
 
 // lateStart is a start that got no response in time.
--- a/internal/cell/fakeexecutor_test.go
+++ b/internal/cell/fakeexecutor_test.go
@@ -60,7 +60,7 @@
 	x.extendLease(sim, s.LeaseEnd)
 	sim.checkStart(x, s)
 	spec := sim.specOf(s.Task)
-	runTime := sim.runTime(s.Task)
+	runTime := time.Duration(float64(sim.runTime(s.Task)) * sim.slowdownOn(x, s.Task))
 	sp := &span{number: s.Number, executor: x.ID, begin: sim.now, open: true, inTouch: sim.owners[s.Epoch-1].inTouch()}
 	sim.history[s.Task] = append(sim.history[s.Task], sp)
 	r := &fakeRun{
@@ -88,7 +88,35 @@
 
 // runTime returns how long a run of a task takes.
 func (sim *simulation) runTime(t fleet.TaskID) time.Duration {
-	return time.Duration(float64(sim.specOf(t).Estimate) * (0.5 + sim.taskRandom(t)))
+	spec := sim.specOf(t)
+	usual := float64(spec.Estimate)
+	if ratio := sim.actualRatio[spec.Image]; ratio > 0 {
+		usual *= ratio
+	}
+	return time.Duration(usual * (0.5 + sim.taskRandom(t)))
+}
+
+// slowdownOn returns how many times as long a task takes on an executor as in a near place on a usual one.
+func (sim *simulation) slowdownOn(x *fakeExecutor, t fleet.TaskID) float64 {
+	slowdown := 1.0
+	if x.slowdown > 0 {
+		slowdown = x.slowdown
+	}
+	spec := sim.specOf(t)
+	away := spec.DataRack != "" && spec.DataRack != x.Rack
+	if spec.SameRack && spec.DataRack == "" {
+		for i := range spec.Count {
+			other := t
+			other.Index = i
+			away = away || slices.ContainsFunc(sim.history[other], func(sp *span) bool {
+				return sp.open && sim.execs[sp.executor].Rack != x.Rack
+			})
+		}
+	}
+	if away && sim.remoteSlowdown > 0 {
+		slowdown *= sim.remoteSlowdown
+	}
+	return slowdown
 }
 
 // failureRate returns the share of runs of a step that fail on their own.
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -30,7 +30,11 @@
 	}
 	st.fullScan = false
 	st.nextGangAt = now.Add(gangRetryInterval)
-	if candidates := c.candidates(now, st); len(candidates) > 0 {
+	switch candidates := c.candidates(now, st); {
+	case len(candidates) == 0:
+	case st.waitsForNear():
+		c.placeGangNear(now, st, candidates)
+	default:
 		c.startGang(now, st, candidates)
 	}
 }
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -21,6 +21,7 @@
 	estimate  time.Duration
 	cpuMillis int64
 	modify    func(*flow.StepSpec)
+	modifyJob func(*flow.Spec)
 }
 
 // numAdvisers is the usual number of concurrent calls to the policy service.
@@ -68,6 +69,9 @@
 			}
 			spec.Steps = append(spec.Steps, s)
 		}
+		if load.modifyJob != nil {
+			load.modifyJob(&spec)
+		}
 		sim.submitted++
 		sim.submit(o, fmt.Sprintf("l%05d", sim.submitted), spec)
 		sim.schedule(time.Duration(sim.arrivals.ExpFloat64()/load.rate*float64(time.Second)), next)
--- a/internal/cell/owner_test.go
+++ b/internal/cell/owner_test.go
@@ -52,7 +52,7 @@
 		logger.Level = log.DebugLevel
 	}
 	o := &owner{env: sim, unreachable: make(map[string]bool), polling: make(map[string]bool), toldRuns: make(map[string]*relay.Told), pollingTwice: make(map[string]bool)}
-	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, EntryValidity: entryValidity, TakeoverAt: sim.now, PriorLeases: leases, Log: logger}
+	o.core = &cell.Core{Epoch: sim.storeEpoch, Lease: lease, EntryValidity: entryValidity, TakeoverAt: sim.now, PriorLeases: leases, Log: logger, RemoteSlowdown: sim.ownerSlowdown}
 	o.core.Init(sim.config, sim.now)
 	o.core.Restore(sim.now, cell.Rows{
 		Jobs: sim.scan(ledger.JobPrefix), Progress: sim.scan(ledger.ProgressPrefix),
--- a/internal/cell/pass.go
+++ b/internal/cell/pass.go
@@ -119,8 +119,17 @@
 	if len(candidates) == 0 {
 		return
 	}
+	if st.waitsForNear() {
+		c.placeTasksNear(now, st, candidates)
+		return
+	}
+	c.placeTasks(now, st, candidates, 0)
+}
+
+// placeTasks starts the pending tasks of a step that fit on the candidates, except as many as are kept.
+func (c *Core) placeTasks(now time.Time, st *stepState, candidates []place.Candidate, keep int) {
 	waiting := 0
-	for waiting < len(st.pending) {
+	for waiting < len(st.pending)-keep {
 		index := st.pending[waiting]
 		if !c.leavesReserve(st, 1) {
 			st.skipped = true
--- a/internal/cell/recorded.go
+++ b/internal/cell/recorded.go
@@ -130,6 +130,7 @@
 		return
 	}
 	st.nextAdviceAt = now.Add(adviceRecheckInterval)
+	c.recordNear(now, st)
 	known := make(map[string]bool)
 	for _, id := range st.job.Executors() {
 		known[id] = true
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -119,12 +119,13 @@
 	if !spec.AllowConcurrentRuns || r.speculated || spec.Estimate <= 0 {
 		return false
 	}
+	estimate := time.Duration(c.slowdownAt(r) * float64(spec.Estimate))
 	elapsed := min(now.Sub(r.startedAt), r.ex.clock-r.confirmedClock) // a late list says nothing about the time since
-	if elapsed < max(minStragglerTime, time.Duration(stragglerFactor*float64(spec.Estimate))) {
+	if elapsed < max(minStragglerTime, time.Duration(stragglerFactor*float64(estimate))) {
 		return false
 	}
 	remaining := float64(elapsed) * (100 - r.percent) / max(r.percent, 1)
-	return remaining > float64(spec.Estimate)
+	return remaining > float64(estimate)
 }
 
 // isStalled reports whether a run makes no progress, by the executor's clock: its list can reach this owner late. Even
@@ -151,6 +152,7 @@
 
 // recordOutcome updates the failure count and slowdown of an executor when a run ends.
 func (c *Core) recordOutcome(now time.Time, r *run, kind fleet.EndKind) {
+	c.observeFreed(now, r)
 	switch kind {
 	case fleet.Failed:
 		c.failureShare += failureShareWeight * (1 - c.failureShare)
@@ -162,7 +164,7 @@
 		c.failureShare -= failureShareWeight * c.failureShare
 		r.ex.recordSuccess()
 		if estimate := r.spec().Estimate; estimate > 0 && !r.startedAt.IsZero() && r.start != nil {
-			ratio := min(float64(now.Sub(r.startedAt))/float64(estimate), 8)
+			ratio := min(c.observeNear(r, float64(now.Sub(r.startedAt))/float64(estimate)), 8)
 			r.ex.slowdown += slowdownWeight * (max(ratio, 0.5) - r.ex.slowdown)
 		}
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -42,6 +42,13 @@
 	config     *fleet.Config
 	owners     []*owner
 
+	// remoteSlowdown is how many times as long tasks take away from their data, ownerSlowdown what the owners know of
+	// it; 0 means as long as there. actualRatio holds, by image, the run time relative to the estimate.
+	remoteSlowdown, ownerSlowdown float64
+	// nearShare is the share of the steps of a near play that have data on some rack.
+	nearShare   float64
+	actualRatio map[string]float64
+
 	// puts are all rows that were stored, if keepPuts is set.
 	puts     []table.Put
 	keepPuts bool
@@ -195,6 +202,8 @@
 	disturbedUntil time.Time
 	clockRate      float64
 	failAll        bool
+	// slowdown is how many times as long runs take; 0 means as long as on others.
+	slowdown float64
 	// hangs keeps all new runs from making progress.
 	hangs bool
 	// heldPolls are polls whose response is held until a run ends.
@@ -257,8 +266,8 @@
 		execs: make(map[string]*fakeExecutor), specs: make(map[string]flow.Spec), rows: make(map[string][]byte),
 		failureShare: 0.02, advisers: numAdvisers,
 		history: make(map[fleet.TaskID][]*span), endedAt: make(map[string]time.Time),
-		misdirectedStarts: make(map[string]int),
-		submittedTo:       make(map[string]map[string]bool), hopeless: make(map[fleet.TaskID]bool),
+		misdirectedStarts: make(map[string]int), actualRatio: make(map[string]float64),
+		submittedTo: make(map[string]map[string]bool), hopeless: make(map[fleet.TaskID]bool),
 		deadly: make(map[fleet.TaskID]bool), crashes: make(map[fleet.TaskID][]time.Time), crashAfter: usualCrashAfter,
 		config: &fleet.Config{Version: 1, Queues: []fleet.Queue{
 			{Name: testQueue, Service: testService, Priority: 0, MaxAttempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -85,6 +84,9 @@
 	endedAt map[int]time.Time
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
+	// remoteSlowdown is Core.RemoteSlowdown if that is above 1, near the wait for a place on the step's rack.
+	remoteSlowdown float64
+	near           nearWait
 }
 
 // promise is an executor named in a call to the policy service in flight, with the number of tasks that fit
@@ -130,7 +132,7 @@
 	fits := make(map[string]int)
 	best := ""
 	for _, ex := range c.sortedExecutors {
-		if !ex.listed || ex.Draining || !ex.claimed || ex.missedPolls > 0 || !ex.HasLabel(st.spec.RequiredLabel) {
+		if !ex.listed || ex.Draining || !ex.claimed || ex.missedPolls > 0 || !st.matches(ex) {
 			continue
 		}
 		fits[ex.Rack] += c.fits(st, ex)
@@ -150,7 +152,7 @@
 		job: j, stepID: s, spec: &j.Spec.Steps[s.Step], queue: c.queueOf(j.Spec.Queue, j.Spec.AcceptedBy),
 		tickets: make(map[string]ticket), asked: make(map[string]int64), asking: make(map[string]promise),
 		runsOn: make(map[string]int), failuresOn: make(map[string]int), endedAt: make(map[int]time.Time),
-		unclaimed: make(map[string]bool),
+		unclaimed: make(map[string]bool), remoteSlowdown: validSlowdown(c.RemoteSlowdown),
 	}
 	if st.queue == nil {
 		st.queue = &fleet.Queue{Name: j.Spec.Queue}
@@ -316,9 +318,12 @@
 
 // penalty returns the placement penalty of an executor for a step; lower is better.
 func penalty(st *stepState, ex *executor) float64 {
-	p := float64(st.failuresOn[ex.ID])*failurePenalty + 4*(ex.slowdown-1) + float64(ex.failures) + float64(ex.machineCrashes)*crashPenalty
-	if rack := cmp.Or(st.spec.DataRack, st.preferredRack); rack != "" && rack != ex.Rack {
-		p += otherRackPenalty
+	p := float64(st.failuresOn[ex.ID])*failurePenalty + slowdownPenalty*(ex.slowdown-1) + float64(ex.failures) + float64(ex.machineCrashes)*crashPenalty
+	if rack := st.rack(); rack != "" && rack != ex.Rack {
+		p += st.elsewherePenalty(ex)
+	}
+	if ex.wanted && st.rack() != ex.Rack {
+		p += wantedRackPenalty
 	}
 	if !st.spec.LongRunning && st.spec.DataRack == "" && st.preferredRack == "" && st.job.homeDomain != ex.Domain {
 		p += otherDomainPenalty
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -66,7 +66,7 @@
 		}
 		st.heldTooLong = now.Sub(st.waitingSince) > maxHoldBack
 		was := st.impatient
-		st.impatient = now.Sub(st.waitingSince) > waitPatience && (st.spec.LongRunning || c.pool(st.queue.Service).hasRoom())
+		st.impatient = now.Sub(st.waitingSince) > waitPatience && st.near.tasks == 0 && (st.spec.LongRunning || c.pool(st.queue.Service).hasRoom())
 		st.fullScan = st.fullScan || st.impatient && !was
 	}
 }
@@ -190,6 +190,8 @@
 		return "not asked", true
 	case st.queue.Advice != nil && !c.hasTicket(now, st, ex):
 		return "ticket expired", true
+	case st.near.tasks > 0 && st.near.tasks >= len(st.pending) && !st.isNear(ex):
+		return "waits for a near place", false
 	case !st.job.recordedOn[ex.ID]:
 		return "not recorded", true
 	case !c.leavesHeldRoom(now, st, ex):
