Count the supply of near places on the executors that a step may use

Steps gave up near places that came in time: the claims of the steps before them counted in full, although these use all of the rack and a step only the half of it that the policy service allows; and rates were too low for seconds after a takeover. Claims now count by the share of the rack's supply that the step may use, rates from when the executor was claimed.

--- a/internal/cell/executor.go
+++ b/internal/cell/executor.go
@@ -157,9 +157,8 @@
 	// slowdown is the average run time on this executor relative to the estimates; 1 is normal.
 	slowdown float64
 	// freedCPU is the CPU in millicores of runs that end here, takenCPU that of tasks which other steps start here
-	// while steps wait for the rack; wanted is set meanwhile.
+	// while steps wait for the rack.
 	freedCPU, takenCPU near.Rate
-	wanted             bool
 	// relativeSlowdown is slowdown relative to the average of all executors, as of Core.near.racksAt; 0 if unknown.
 	relativeSlowdown float64
 }
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -22,10 +22,6 @@
 
 	// slowdownPenalty is the penalty for each multiple of the usual run time.
 	slowdownPenalty = 4
-
-	// wantedRackPenalty keeps other steps away from racks that steps wait for, where there is a choice. It is below
-	// otherDomainPenalty, so that the tasks of a job still stay in one failure domain.
-	wantedRackPenalty = 2
 )
 
 // nearPlacement is what the core observes for steps whose tasks run faster on one rack.
@@ -72,7 +68,6 @@
 		for _, ex := range c.sortedExecutors {
 			ex.relativeSlowdown = ex.slowdown * float64(len(c.sortedExecutors)) / sum
 			c.near.racks[ex.Rack] = append(c.near.racks[ex.Rack], ex)
-			ex.wanted = c.isWanted(ex.Rack)
 		}
 	}
 	return c.near.racks[rack]
@@ -104,11 +99,13 @@
 	objective := st.job.Spec.Accepted.Add(fleet.Times(st.queue.Stretch*ratio, st.job.Spec.CriticalPath())).Add(st.queue.Slack)
 	s.Left = objective.Sub(now) - fleet.Times(ratio, st.job.Spec.ChainAfter(st.stepID.Step))
 	var r near.Rack
+	whole := 0.0
 	for _, ex := range c.rackExecutors(now, st.rack()) {
+		freed := ex.freedCPU.PerSecond(now, ex.incarnationSince) - ex.takenCPU.PerSecond(now, ex.incarnationSince)
+		whole += freed
 		if !c.mayUse(now, st, ex) {
 			continue
 		}
-		freed := ex.freedCPU.PerSecond(now) - ex.takenCPU.PerSecond(now)
 		if _, asked := st.asked[ex.ID]; st.queue.Advice != nil && !asked {
 			freed *= c.allowedShareOf(st.queue.Name).value
 		}
@@ -121,7 +118,8 @@
 		w := c.near.wanted[st.rack()]
 		r.Idle = now.Sub(w.gotAt)
 		claims, i := c.claims(w, st, need*float64(missing))
-		r.Ahead = near.Ahead(claims, i)
+		// The steps before it use all of the rack, and only part of that on the executors that this one may use.
+		r.Ahead = near.Ahead(claims, i) * min(max(r.Freed, 0)/max(whole, 1), 1)
 	}
 	return near.Decide(s, r)
 }
--- a/internal/cell/nearwait.go
+++ b/internal/cell/nearwait.go
@@ -85,7 +85,6 @@
 		w.gotAt = now
 	}
 	w.steps = append(w.steps, st)
-	c.setWanted(now, st.rack())
 }
 
 // leaveRack removes the step from those that wait for its rack.
@@ -95,16 +94,6 @@
 		return
 	}
 	w.steps = slices.DeleteFunc(w.steps, func(other *stepState) bool { return other == st })
-	for _, ex := range c.near.racks[st.rack()] {
-		ex.wanted = len(w.steps) > 0
-	}
-}
-
-// setWanted marks the executors of a rack that steps wait for.
-func (c *Core) setWanted(now time.Time, rack string) {
-	for _, ex := range c.rackExecutors(now, rack) {
-		ex.wanted = true
-	}
 }
 
 // countPlaces counts tasks of a step that got near places. The wait ends with the last one.
@@ -154,9 +143,6 @@
 
 // updateNearWaits ends the waits that no longer pay, and lets tasks start elsewhere that need not wait any more.
 func (c *Core) updateNearWaits(now time.Time) {
-	if c.near.racks != nil {
-		c.rackExecutors(now, "") // marks the executors of wanted racks, since an executor can change its rack
-	}
 	for _, st := range c.waitingForNear() {
 		switch {
 		case !st.queued || st.job.State.Final():
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -322,9 +322,6 @@
 	if rack := st.rack(); rack != "" && rack != ex.Rack {
 		p += st.elsewherePenalty(ex)
 	}
-	if ex.wanted && st.rack() != ex.Rack {
-		p += wantedRackPenalty
-	}
 	if !st.spec.LongRunning && st.spec.DataRack == "" && st.preferredRack == "" && st.job.homeDomain != ex.Domain {
 		p += otherDomainPenalty
 	}
--- a/internal/near/observe.go
+++ b/internal/near/observe.go
@@ -9,6 +9,9 @@
 // see no end of some of them.
 const Window = 6 * time.Second
 
+// minAge is the shortest time that a rate is taken over, so that the first end of a run does not look like many.
+const minAge = 2 * time.Second
+
 // Rate is a moving average of an amount per second. The zero value has seen nothing.
 type Rate struct {
 	sum float64
@@ -21,9 +24,10 @@
 	r.at = now
 }
 
-// PerSecond returns the average amount per second. It is too low until Window has passed since the first amount.
-func (r *Rate) PerSecond(now time.Time) float64 {
-	return r.decayed(now) / Window.Seconds()
+// PerSecond returns the average amount per second of what was counted since a time.
+func (r *Rate) PerSecond(now, since time.Time) float64 {
+	age := max(now.Sub(since), minAge).Seconds()
+	return r.decayed(now) / (Window.Seconds() * (1 - math.Exp(-age/Window.Seconds())))
 }
 
 func (r *Rate) decayed(now time.Time) float64 {
