--- a/internal/near/decide.go
+++ b/internal/near/decide.go
@@ -81,8 +81,8 @@
 }
 
 // Decide returns how many tasks wait for near places: those whose place is expected before waiting costs more than it
-// gains, and so early that the job still meets an objective that it would meet elsewhere. A tie between waiting and starting elsewhere starts the task, since the estimate of its run time may be wrong
-// and the free place is certain.
+// gains, and so early that the job still meets an objective that it would meet elsewhere. A tie starts the task, since the
+// free place is certain.
 func Decide(s Step, r Rack) Decision {
 	if s.Slowdown <= 1 || s.RunTime <= 0 || s.Tasks <= 0 || s.Need <= 0 {
 		return Decision{Reason: TooSlow}
