--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -91,7 +91,7 @@
 	// Advise calls the policy service from this instance.
 	Advise func(ctx context.Context, step fleet.StepID, executors []string) ([]fleet.Ticket, time.Duration, error)
 
-	// StoreCall makes one call to the store on behalf of the owner; status 0 means no response.
+	// StoreCall makes one call to the store on behalf of another instance; status 0 means no response.
 	StoreCall func(ctx context.Context, method, target string, body []byte) (status int, respBody []byte)
 
 	// TermChanged is called when a term of this instance as owner begins and ends. It may be nil.
