--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -80,8 +80,8 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team
-	// KeysRequired is set when calls on queues that are not public need the key of a team: the document lists teams,
-	// even if all of them are malformed.
+	// KeysRequired is set when calls on queues that are not public need the key of a team: the document has a list of teams,
+	// even if it is empty or all of them are malformed.
 	KeysRequired bool
 	// Problems describes malformed entries that were left out.
 	Problems []string
