Allocate peer messages as they arrive

Cause: ReadMessage allocated up to 4 MB as soon as the length of a message had arrived, so that a peer that sends nothing more held 4 MB a stream.

Change: memory is allocated 64 KB at first and at most doubles with each part that has arrived.

--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -11,7 +11,13 @@
 // MaxMessageBytes is the maximum size of a message without its length prefix.
 const MaxMessageBytes = 4 << 20
 
-const prefixBytes = 4
+const (
+	prefixBytes = 4
+
+	// firstReadBytes is how much memory is allocated for a message before any of it has arrived: the sender of a
+	// length alone would take MaxMessageBytes.
+	firstReadBytes = 64 << 10
+)
 
 // ErrTooLarge means that a message is larger than MaxMessageBytes.
 var ErrTooLarge = errors.New("peer: message is too large")
@@ -42,9 +48,24 @@
 	if n > MaxMessageBytes {
 		return ErrTooLarge
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(n))
+	if err != nil {
 		return errors.Wrap(err, "peer: unable to read message")
 	}
 	return errors.Wrap(proto.Unmarshal(body, m), "peer: unable to decode message")
 }
+
+// readBody reads n bytes, into memory that at most doubles with each part that has arrived.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, min(n, firstReadBytes))
+	read := 0
+	for {
+		if _, err := io.ReadFull(r, body[read:]); err != nil {
+			return nil, err
+		}
+		if read = len(body); read == n {
+			return body, nil
+		}
+		body = append(body, make([]byte, min(read, n-read))...)
+	}
+}
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -1,11 +1,13 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -133,6 +135,24 @@
 	}
 }
 
+// A message longer than what is allocated at first must arrive whole. One of which only the length arrives must not
+// take memory for all of it.
+func TestLongMessagesAreReadInParts(t *testing.T) {
+	sent := &wire.Response{Body: &wire.Response_Failure{Failure: &wire.Failure{Reason: strings.Repeat("r", 1_000_000)}}}
+	var frame bytes.Buffer
+	assert.NilError(t, peer.WriteMessage(&frame, sent))
+	var received wire.Response
+	assert.NilError(t, peer.ReadMessage(&frame, &received))
+	assert.Equal(t, received.GetFailure().GetReason(), sent.GetFailure().GetReason())
+	prefix := binary.BigEndian.AppendUint32(nil, peer.MaxMessageBytes)
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			assert.Check(b, peer.ReadMessage(bytes.NewReader(prefix), &received) != nil)
+		}
+	})
+	assert.Check(t, result.AllocedBytesPerOp() < peer.MaxMessageBytes/8, "%d bytes", result.AllocedBytesPerOp())
+}
+
 // Guards against reporting the outcome Unknown although nothing was sent.
 func TestCallWithCancelledContextIsNotSent(t *testing.T) {
 	server := &peer.Server{Handle: echo}
