--- a/internal/flow/spec.go
+++ b/internal/flow/spec.go
@@ -12,8 +12,9 @@
 // Limits on a job; a job that exceeds them is malformed.
 const (
 	// MaxTextBytes is the maximum size of the text that is passed to executors.
-	MaxTextBytes   = 4000
-	maxSteps       = 64
+	MaxTextBytes = 4000
+	// MaxSteps is the maximum number of steps.
+	MaxSteps       = 64
 	maxCount       = 4096
 	maxOccurrences = 100_000
 	// maxOpenOccurrences and maxOpenBytes limit the occurrences of a job that are open at the same time,
@@ -27,7 +28,7 @@
 	// row of the store, 64 KiB.
 	MaxNameBytes = 200
 	// MaxEstimate limits the estimated duration of a task; a longer estimate counts as this. The
-	// longest chain of maxSteps steps still fits into a time.Duration.
+	// longest chain of MaxSteps steps still fits into a time.Duration.
 	MaxEstimate = 365 * 24 * time.Hour
 	// maxUnixMs is the last millisecond of the year 9999.
 	maxUnixMs = 253_402_300_799_999
@@ -120,8 +121,8 @@
 	if len(s.Text) > MaxTextBytes {
 		return errors.Wrapf(ErrMalformed, "text has %d bytes, at most %d are allowed", len(s.Text), MaxTextBytes)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return errors.Wrapf(ErrMalformed, "%d steps, 1 to %d are allowed", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return errors.Wrapf(ErrMalformed, "%d steps, 1 to %d are allowed", len(s.Steps), MaxSteps)
 	}
 	if s.Occurrences < 0 || s.Occurrences > maxOccurrences || s.Occurrences > 0 && s.Period < 0 {
 		return errors.Wrapf(ErrMalformed, "%d occurrences every %s", s.Occurrences, s.Period)
