--- a/internal/guard/budget.go
+++ b/internal/guard/budget.go
@@ -98,13 +98,15 @@
 	if b.members == nil {
 		b.members, b.sources = make(map[*Member]struct{}), make(map[string]*source)
 	}
-	limit := b.Limits.Connections
-	if s := b.sources[m.Source]; limit > 0 && (len(b.members) >= limit || s != nil && s.connections >= share(limit)) {
+	if limit := b.Limits.Connections; b.full(m.Source) {
 		victims = b.evictStalled(now, max(limit/evictionBatch, 1))
-		if len(b.members) >= limit {
+		if b.full(m.Source) {
+			victims = append(victims, b.evictIdle(m.Source, now)...)
+		}
+		if b.full(m.Source) {
 			victims = append(victims, b.evictNewestOfLargest(m.Source)...)
 		}
-		if s := b.sources[m.Source]; len(b.members) >= limit || s != nil && s.connections >= share(limit) {
+		if b.full(m.Source) {
 			return victims, false
 		}
 	}
@@ -120,6 +122,13 @@
 	return victims, true
 }
 
+// full reports whether the budget has no connection left for a source.
+func (b *Budget) full(name string) bool {
+	limit := b.Limits.Connections
+	s := b.sources[name]
+	return limit > 0 && (len(b.members) >= limit || s != nil && s.connections >= share(limit))
+}
+
 // share returns how much of a limit one source may take.
 func share(limit int) int { return max(limit*sourceShare/8, 1) }
 
@@ -254,16 +263,41 @@
 	return victims
 }
 
-// evictNewestOfLargest makes room for a connection of a source: it removes the newest one of the source with the most,
-// if that has more than the given one would have.
-func (b *Budget) evictNewestOfLargest(except string) []*Member {
+// evictIdle removes the connection that has been idle longest, if it has been for idleEvictableAfter, of the source
+// with the most connections, or of the given one if that has its whole share.
+func (b *Budget) evictIdle(name string, now time.Duration) []*Member {
+	from := b.sources[name]
+	if from == nil || from.connections < share(b.Limits.Connections) {
+		from = b.largest("")
+	}
+	var oldest *Member
+	for m := range b.members {
+		if m.source == from && m.phase == Idle && now-m.progress >= idleEvictableAfter && (oldest == nil || m.progress < oldest.progress) {
+			oldest = m
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	b.remove(oldest)
+	return []*Member{oldest}
+}
+
+// largest returns the source with the most connections except for one; nil if there is none.
+func (b *Budget) largest(except string) *source {
 	var largest *source
 	for name, s := range b.sources {
 		if name != except && (largest == nil || s.connections > largest.connections) {
 			largest = s
 		}
 	}
-	taken := 1
+	return largest
+}
+
+// evictNewestOfLargest makes room for a connection of a source: it removes the newest one of the source with the most,
+// if that has more than the given one would have.
+func (b *Budget) evictNewestOfLargest(except string) []*Member {
+	largest, taken := b.largest(except), 1
 	if own := b.sources[except]; own != nil {
 		taken += own.connections
 	}
--- a/internal/guard/budget_test.go
+++ b/internal/guard/budget_test.go
@@ -53,6 +53,29 @@
 	assert.Assert(t, !ok && len(victims) == 0, "no source has more connections than the new one would")
 }
 
+// Guards against idle connections that keep new ones out, and against a source that makes others lose theirs.
+func TestLongIdleConnectionsMakeRoom(t *testing.T) {
+	b := &guard.Budget{Limits: guard.Limits{Connections: 8}}
+	var many []*guard.Member
+	for i := range 6 {
+		m := open(t, b, "many", 0)
+		b.Enter(m, guard.Idle, time.Duration(i)*time.Second)
+		many = append(many, m)
+	}
+	few := open(t, b, "few", 0)
+	b.Enter(few, guard.Idle, 0)
+	silent := open(t, b, "many", 5*time.Second)
+	for _, c := range []struct {
+		now  time.Duration
+		want *guard.Member
+	}{{5900 * time.Millisecond, many[0]}, {6100 * time.Millisecond, silent}, {6200 * time.Millisecond, many[1]}} {
+		victims, ok := b.Open(&guard.Member{Source: "many"}, c.now)
+		assert.Assert(t, ok && len(victims) == 1 && victims[0] == c.want, "at %s", c.now)
+	}
+	victims, ok := b.Open(&guard.Member{Source: "many"}, 6200*time.Millisecond)
+	assert.Assert(t, !ok && len(victims) == 0, "the others have not been idle for long, or are of another source")
+}
+
 // Guards against bytes of requests that are not complete beyond the budget, and against a large holder that makes
 // others lose theirs.
 func TestLargestHolderGivesUpBytes(t *testing.T) {
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -96,7 +96,10 @@
 	phase := g.budget.Phase(c.member)
 	switch {
 	case !c.http:
-		g.budget.Enter(c.member, phase, g.now())
+		// An instance keeps its connection to another one open. Only one without any byte is stalled.
+		if phase == Head {
+			g.budget.Enter(c.member, Idle, g.now())
+		}
 		return n, err
 	case phase != Idle && phase != Head:
 		return n, err
--- a/internal/guard/http_test.go
+++ b/internal/guard/http_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -219,3 +222,38 @@
 	defer s.mu.Unlock()
 	assert.Check(t, s.lines >= 1 && s.lines <= int(time.Since(begun).Seconds())+2, "%d lines", s.lines)
 }
+
+// Guards against connections without a byte that keep other instances out, and against closing the connection of an
+// instance that was silent for some time to make room for them.
+func TestSilentPeersMakeRoomFirst(t *testing.T) {
+	g := &guard.Guard{Name: "peers", Limits: guard.Limits{Connections: 3}, Log: &log.Logger{Handler: discard.New()}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l = g.Listen(l, false)
+	t.Cleanup(func() { _ = l.Close() })
+	connect := func(text string) (client, server net.Conn) {
+		client, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		server, err = l.Accept()
+		assert.NilError(t, err)
+		_, err = io.WriteString(client, text)
+		assert.NilError(t, err)
+		if text != "" {
+			_, err = server.Read(make([]byte, 8))
+			assert.NilError(t, err)
+		}
+		return client, server
+	}
+	peer, served := connect("hello")
+	silent, _ := connect("")
+	time.Sleep(1100 * time.Millisecond) // a connection counts as stalled after 1 s
+	_, _ = connect("hello")
+	assert.NilError(t, silent.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = silent.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	_, err = io.WriteString(served, "still here")
+	assert.NilError(t, err)
+	_, err = peer.Read(make([]byte, 1))
+	assert.NilError(t, err)
+}
--- a/internal/guard/limits.go
+++ b/internal/guard/limits.go
@@ -43,6 +43,10 @@
 	// evictableAfter is the time without progress after which a connection in the middle of a request may be closed
 	// to make room for others. A lost packet on a link with a round trip of 200 ms is repeated within 0.6 s.
 	evictableAfter = time.Second
+
+	// idleEvictableAfter is the same for a connection between two requests. A client that keeps a connection for each
+	// of 105 requests a second, the whole load of a deployment, has 525 of them then.
+	idleEvictableAfter = 5 * time.Second
 )
 
 // Limits are the budgets of one instance. A field that is 0 has no limit.
