--- a/cmd/daisyrack/main.go
+++ b/cmd/daisyrack/main.go
@@ -67,6 +67,7 @@
 			devCommand(),
 			standinCommand(),
 			checkCommand(),
+			configCommand(),
 			publishCommand(),
 			submitCommand(),
 			cancelCommand(),
