Count what urgent steps go on taking of a rack against the waits of others

On a rack that a crowd wants, batch steps waited for places that urgent steps kept taking, and were late in the end: the supply counted what had been claimed, not what was still to come. What steps of higher classes take on their rack is now observed and taken off.

--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -31,6 +31,14 @@
 	// racks holds the executors of each rack as of racksAt.
 	racks   map[string][]*executor
 	racksAt time.Time
+	// taken holds, by rack, the CPU that steps of each class take on their rack.
+	taken map[string][]classTaken
+}
+
+// classTaken is the CPU that steps of queues with a priority take on a rack.
+type classTaken struct {
+	priority int
+	cpu      near.Rate
 }
 
 // rack returns the rack on which the tasks of the step run faster; empty if there is none.
@@ -111,6 +119,13 @@
 		}
 		r.Freed += freed
 	}
+	// Of what becomes free, the steps of higher classes that are still to come take as much as those so far.
+	share := min(max(r.Freed, 0)/max(whole, 1), 1)
+	for _, taken := range c.near.taken[st.rack()] {
+		if taken.priority < st.queue.Priority {
+			r.Freed -= share * taken.cpu.PerSecond(now, c.TakeoverAt)
+		}
+	}
 	if !st.near.beganAt.IsZero() {
 		s.Waited = now.Sub(st.near.beganAt)
 	}
@@ -119,7 +134,7 @@
 		r.Idle = now.Sub(w.gotAt)
 		claims, i := c.claims(w, st, need*float64(missing))
 		// The steps before it use all of the rack, and only part of that on the executors that this one may use.
-		r.Ahead = near.Ahead(claims, i) * min(max(r.Freed, 0)/max(whole, 1), 1)
+		r.Ahead = near.Ahead(claims, i) * share
 	}
 	return near.Decide(s, r)
 }
@@ -360,8 +375,20 @@
 	}
 }
 
-// observeTaken records that a task took room on a rack that other steps wait for.
+// observeTaken records that a task took room on the rack of its step, or on one that other steps wait for.
 func (c *Core) observeTaken(now time.Time, st *stepState, ex *executor) {
+	if st.waitsForNear() && st.rack() == ex.Rack {
+		if c.near.taken == nil {
+			c.near.taken = make(map[string][]classTaken)
+		}
+		classes := c.near.taken[ex.Rack]
+		i := slices.IndexFunc(classes, func(t classTaken) bool { return t.priority == st.queue.Priority })
+		if i < 0 {
+			i, classes = len(classes), append(classes, classTaken{priority: st.queue.Priority})
+			c.near.taken[ex.Rack] = classes
+		}
+		classes[i].cpu.Add(now, float64(st.spec.Reserved().CPUMillis))
+	}
 	if c.isWanted(ex.Rack) && st.rack() != ex.Rack {
 		ex.takenCPU.Add(now, float64(st.spec.Reserved().CPUMillis))
 	}
