Check once in 0.1 s whether the configuration has to be confirmed

Without teams and strict revocation, and until the first configuration arrives, an instance never reads to confirm its configuration. The time of its next read stayed in the past, so that the loop looked again after 1 ms, for ever.

Measured: TestInstanceWithoutKeysIsIdle counts 454 readings of the clock in 0.5 s before, and passes with 10 allowed.

--- a/internal/host/keys.go
+++ b/internal/host/keys.go
@@ -69,8 +69,11 @@
 	stagger := rand.Float64()
 	failing := false
 	for ctx.Err() == nil {
-		wait := h.freshness.NextRead(h.KeyLimits, h.driver.Load() != nil, stagger) - h.BootTime()
-		if !h.confirmsConfig() || wait > 0 {
+		if !h.confirmsConfig() {
+			sleep(ctx, confirmCheckInterval)
+			continue
+		}
+		if wait := h.freshness.NextRead(h.KeyLimits, h.driver.Load() != nil, stagger) - h.BootTime(); wait > 0 {
 			sleep(ctx, min(max(wait, time.Millisecond), confirmCheckInterval))
 			continue
 		}
