Decide on near places for as many tasks as the quota lets start

A step that is wider than what is left of the quota of its team was decided about with all of its tasks: those for which no near place would come in time started elsewhere, and used up the quota there for far_x times as long, while those that were to wait could not start. Now the tasks that the quota lets start are decided about, and none while it lets no task start.

A gang that is larger than all usable executors of its rack together waited there in vain. It does not wait now.

Measured: TestWideStepWaitsWithinQuota (2 of 24 tasks away from their data before, none now) and TestGroupLargerThanItsRackDoesNotWait (3.7 s of waiting before, none now) fail before and pass; the other tests of quotas, near places and gangs have the results that they had.

--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -90,6 +90,9 @@
 
 // decideNear decides about the tasks of a step that found no near place; missing is their number.
 func (c *Core) decideNear(now time.Time, st *stepState, missing int) near.Decision {
+	if st.spec.Gang && !c.rackHolds(now, st) {
+		return near.Decision{Reason: near.NoPlaces}
+	}
 	ratio, estimate := c.near.runTimes.Ratio(st.image(), st.spec.Count), min(st.spec.Estimate, flow.MaxEstimate)
 	need := max(float64(st.spec.Reserved().CPUMillis), 1)
 	s := near.Step{
@@ -124,6 +127,17 @@
 	return near.Decide(s, r)
 }
 
+// rackHolds reports whether the executors of its rack that the gang may use are large enough for all of it.
+func (c *Core) rackHolds(now time.Time, st *stepState) bool {
+	n := 0
+	for _, ex := range c.rackExecutors(now, st.rack()) {
+		if c.mayUse(now, st, ex) {
+			n += c.fitsInto(st, ex, ex.Capacity)
+		}
+	}
+	return n >= st.spec.Count
+}
+
 // claims returns the claims of the steps that wait for a rack and of one step, in scheduling order, and the index of
 // that step.
 func (c *Core) claims(w *wantedRack, st *stepState, cpu float64) ([]near.Claim, int) {
@@ -190,13 +204,15 @@
 		c.placeTasks(now, st, nearby, 0)
 	}
 	c.countPlaces(now, st, before-len(st.pending))
-	if len(st.pending) == 0 || !c.leavesReserve(st, 1) || !c.fitsAny(st, others) {
+	// Only tasks that the quota lets start now can use a near place or start elsewhere.
+	room := st.quotaRoom()
+	if room == 0 || !c.leavesReserve(st, 1) || !c.fitsAny(st, others) {
 		return
 	}
-	keep := c.updateNearWait(now, st, len(st.pending))
+	waiting := c.updateNearWait(now, st, room)
 	before = len(st.pending)
-	if keep < before {
-		c.placeTasks(now, st, others, keep)
+	if waiting < room {
+		c.placeTasks(now, st, others, before-(room-waiting))
 	}
 	nearAway.Add(before - len(st.pending))
 	c.Stats.NearElsewhere += int64(before - len(st.pending))
@@ -279,7 +295,7 @@
 // declinesElsewhere reports whether all pending tasks of the step wait for near places, for long enough that it needs
 // no ticket for other executors yet.
 func (st *stepState) declinesElsewhere(now time.Time) bool {
-	if st.near.tasks == 0 || st.near.tasks < len(st.pending) {
+	if st.near.tasks == 0 || st.near.tasks < st.quotaRoom() {
 		return false
 	}
 	latency := ticketMargin
@@ -311,7 +327,7 @@
 			out = append(out, ex)
 		}
 	}
-	missing := len(st.pending) - room
+	missing := st.quotaRoom() - room
 	if missing <= 0 || st.near.tasks == 0 && c.decideNear(now, st, missing).Tasks == 0 {
 		return nil
 	}
--- a/internal/cell/nearwait.go
+++ b/internal/cell/nearwait.go
@@ -150,10 +150,13 @@
 		case !now.Before(st.near.until):
 			c.giveUpNear(now, st, len(st.pending), string(near.Limit))
 		case now.Sub(st.near.checkedAt) >= nearRecheckInterval:
-			missing := len(st.pending)
+			missing := st.quotaRoom()
 			if st.spec.Gang {
 				missing = st.near.tasks
 			}
+			if missing == 0 {
+				continue // the quota of the team holds the step back
+			}
 			if was := st.near.tasks; c.updateNearWait(now, st, missing) < min(was, missing) {
 				st.fullScan = true
 			}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -190,7 +190,7 @@
 		return "not asked", true
 	case st.queue.Advice != nil && !c.hasTicket(now, st, ex):
 		return "ticket expired", true
-	case st.near.tasks > 0 && st.near.tasks >= len(st.pending) && !st.isNear(ex):
+	case st.near.tasks > 0 && st.near.tasks >= st.quotaRoom() && !st.isNear(ex):
 		return "waits for a near place", false
 	case !st.job.recordedOn[ex.ID]:
 		return "not recorded", true
