Send callers out of a failure domain that is cut off with its owner

The owner of a domain that is cut off went on for 2 s before it told that the store does not answer, so that the instances inside withdrew their readiness only when most cuts are nearly over; callers spent their retries on rejections there. The owner now concludes that its domain is cut off once neither the store nor any follower of another domain has been heard for 0.7 s, tells the instances inside, which are not ready at once, and rejects new jobs at once with the time that the load balancer takes to react. An outage of the store alone, or the loss of single instances, changes nothing.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -46,6 +46,9 @@
 	// may have shrunk since. 0 means for ever.
 	EntryValidity time.Duration
 
+	// CutOff reports whether the owner seems to be cut off with its failure domain, and when callers should come back; it may
+	// be nil. What cannot be stored is rejected at once then.
+	CutOff func() (retryAfter time.Duration, cutOff bool)
 	// RemoteSlowdown is how many times as long tasks take away from their data or from the rest of their step; steps
 	// wait for near places if it is above 1.
 	RemoteSlowdown float64
--- a/internal/cell/driver.go
+++ b/internal/cell/driver.go
@@ -83,6 +83,8 @@
 	EntryValidity time.Duration
 	// RemoteSlowdown is the field of Core.
 	RemoteSlowdown float64
+	// CutOff is the field of Core.
+	CutOff func() (retryAfter time.Duration, cutOff bool)
 
 	Start    func(ctx context.Context, e fleet.Executor, cmd fleet.Start) fleet.Response
 	Stop     func(ctx context.Context, e fleet.Executor, cmd fleet.Stop) fleet.Response
@@ -151,6 +153,7 @@
 	restored           chan struct{}
 
 	storeReachable  atomic.Bool
+	confirmedAt     atomic.Pointer[time.Time]
 	lastPendingJobs atomic.Pointer[map[string]int64]
 }
 
@@ -216,7 +219,7 @@
 	d.history = d.Ledger.History()
 	d.core = &Core{
 		Epoch: epoch, Lease: d.Lease, EntryValidity: d.EntryValidity, TakeoverAt: now, PriorLeases: d.priorLeases(), Log: d.Log,
-		RemoteSlowdown: d.RemoteSlowdown,
+		RemoteSlowdown: d.RemoteSlowdown, CutOff: d.CutOff,
 	}
 	d.config = d.Config()
 	d.core.Init(d.config, sent)
@@ -432,9 +435,19 @@
 	return nil
 }
 
+// ConfirmedAt returns when the last commit or read was sent that confirmed the ownership, as of the last tick.
+func (d *Driver) ConfirmedAt() time.Time {
+	if at := d.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // publishStats makes the state of the core available to other goroutines.
 func (d *Driver) publishStats(now time.Time) {
 	d.storeReachable.Store(!d.core.StoreUnavailable(now))
+	confirmed := d.core.confirmedAt
+	d.confirmedAt.Store(&confirmed)
 	m := d.core.PendingJobs()
 	d.lastPendingJobs.Store(&m)
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -29,6 +29,15 @@
 		reply(Reply{Outcome: Rejected, Reason: err.Error(), RetryAfter: rejectRetryAfter})
 		return
 	}
+	if c.CutOff != nil {
+		if retryAfter, cutOff := c.CutOff(); cutOff {
+			c.Stats.Rejected++
+			c.Log.WithField("job", id).WithField("store_silent_ms", now.Sub(c.confirmedAt).Milliseconds()).
+				Info("job rejected: failure domain is cut off")
+			reply(Reply{Outcome: Rejected, Reason: "the failure domain is cut off", RetryAfter: retryAfter})
+			return
+		}
+	}
 	if c.StoreUnavailable(now) {
 		c.Stats.Rejected++
 		c.Log.WithField("job", id).WithField("store_silent_ms", now.Sub(c.confirmedAt).Milliseconds()).
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -224,7 +224,10 @@
 func (h *Host) applyFollowReply(owner string, r *wire.FollowReply) {
 	h.lastLogged = ""
 	h.setOwner(owner, r.GetEpoch())
-	if !r.GetStoreAway() {
+	switch {
+	case r.GetCutOff():
+		h.markCutOff()
+	case !r.GetStoreAway():
 		h.markOwnerHealthy()
 	}
 	h.mu.Lock()
@@ -397,6 +400,7 @@
 	d.Config, d.PriorLeases = h.Config, h.handedOver(previous.Record.GetEpoch())
 	d.Advisers, d.FormerFollowers = h.advisers, h.hasFormerFollowers
 	d.RequestAdvice = h.requestAdvice
+	d.CutOff = func() (time.Duration, bool) { return h.cutOffRetryAfter(d) }
 	sender := h.newSender()
 	d.Start, d.Stop, d.Throttle, d.Poll = sender.Start, sender.Stop, sender.Throttle, sender.Poll
 	sender.LatePoll = d.ApplyLatePoll
@@ -437,8 +441,14 @@
 // store.
 func (h *Host) refreshOwnHealth(ctx context.Context) {
 	for ctx.Err() == nil {
-		if d := h.driver.Load(); d != nil && d.StoreReachable() {
-			h.markOwnerHealthy()
+		if d := h.driver.Load(); d != nil {
+			_, cutOff := h.cutOffSince(d)
+			switch {
+			case cutOff:
+				h.markCutOff()
+			case d.StoreReachable():
+				h.markOwnerHealthy()
+			}
 		}
 		sleep(ctx, followHoldTime)
 	}
--- a/internal/host/followstream.go
+++ b/internal/host/followstream.go
@@ -196,12 +196,13 @@
 		}
 		return &wire.FollowReply{OwnerAddress: owner, Resigned: h.Leaving() || h.recentlyYielded()}
 	}
+	_, cutOff := h.cutOffSince(d)
 	confirmedAt, confirmed := h.freshness.StoreClock() // holds for each configuration that is loaded later
 	config := h.Config()
 	h.mu.Lock()
 	live := h.liveFollowers()
 	followers, hash := live.addresses, live.hash
-	r := &wire.FollowReply{Epoch: max(h.ownerEpoch, 1), ConfigVersion: config.Version, StoreAway: !d.StoreReachable()}
+	r := &wire.FollowReply{Epoch: max(h.ownerEpoch, 1), ConfigVersion: config.Version, StoreAway: cutOff || !d.StoreReachable(), CutOff: cutOff}
 	h.mu.Unlock()
 	if confirmed {
 		r.ConfigConfirmedMs = max(confirmedAt.Milliseconds(), 0)
