Serve teams by their weights while the fleet is short

Cause: a team that sent seven times its load took the capacity of all others, since steps were ordered by objective alone.

Change: while demand exceeds the capacity of a priority class, teams are compared by what they have had of it in the last seconds, in core-seconds for each unit of weight. Steps of teams below 0.9 of their share go first, those of teams beyond 1.5 of it last; between these and inside a team the order stays by objective. The order alone does little, since steps that wait have tickets for each place that becomes free: steps that come first claim room, which those beyond their share leave. Jobs without a team keep their order. Large tasks and gangs that the quota holds back get their turn beside a stream of small tasks of their team. Metrics of share and debt by team.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -116,7 +116,7 @@
 		if slow && fastOnly {
 			continue
 		}
-		if !c.leavesReserve(st, 1) || st.holdsForQuota() {
+		if !c.leavesReserve(st, 1) || st.holdsForQuota() || !c.leavesClaims(st, st.quotaTasks()) {
 			continue
 		}
 		if req := c.newAdviceRequest(now, st); req != nil {
--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -87,6 +87,7 @@
 		c.Stats.Trials++
 	}
 	c.observeRestart(now, st, index, ex)
+	st.quotaHeldSince, st.claimedAt = time.Time{}, time.Time{}
 	st.job.startedRuns++
 	st.job.lastStart = now
 	c.Stats.Starts++
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -143,6 +142,12 @@
 
 	// teams holds the configured teams by name.
 	teams map[string]*team
+	// sharesUpdatedAt is when the order of teams was last updated.
+	sharesUpdatedAt time.Time
+	// anyYields is set while a step of a team beyond its share waits.
+	anyYields bool
+	// claims is what steps within the shares of their teams wait for.
+	claims map[contest]*claim
 	// assumedOn holds, by executor, the jobs of teams whose tasks earlier owners may have running there, until it is
 	// claimed; staleAssumptions are the jobs for which that has changed.
 	assumedOn        map[string][]*job
@@ -266,7 +271,9 @@
 	// that it is not the cause of a crash right after it.
 	outlivedStart bool
 	// speculated is set when a second run of the task was requested.
-	speculated     bool
+	speculated bool
+	// account is the one in which the run counts for the share of its team; it may be nil.
+	account        *account
 	commandPending bool // a command for this run is queued or in flight
 	// percent and metric are the values last listed by the executor, as in fleet.Run.
 	percent    float64
@@ -348,6 +355,7 @@
 	c.held = make(map[*executor]bool)
 	c.assumedOn = make(map[string][]*job)
 	c.staleAssumptions = make(map[*job]bool)
+	c.claims = make(map[contest]*claim)
 	c.setTeams()
 	c.writes.prepare()
 }
@@ -368,15 +376,7 @@
 			c.updateQueue(now, j, q)
 		}
 	}
-	slices.SortStableFunc(c.runnable, func(a, b *stepState) int {
-		switch {
-		case schedulesBefore(a, b):
-			return -1
-		case schedulesBefore(b, a):
-			return 1
-		}
-		return 0
-	})
+	c.sortRunnable()
 	for _, ex := range c.sortedExecutors {
 		c.updateCordon(ex)
 	}
@@ -390,6 +390,7 @@
 			st.fullScan = true
 		}
 		st.queue = q
+		c.joinContest(st)
 	}
 	if j.sloDeadline.IsZero() {
 		for _, r := range j.allRuns() {
@@ -477,6 +478,7 @@
 	c.unblockOverdue(now)
 	c.endOverdueAssumptions(now)
 	c.checkQuotas(now)
+	c.updateShares(now)
 	c.expireCrashes(now)
 	c.updateWaiting(now)
 	c.expireHolds(now)
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -21,6 +21,9 @@
 	estimate  time.Duration
 	cpuMillis int64
 	modify    func(*flow.StepSpec)
+	team      string
+	// even makes the jobs come at equal intervals, so that a load has no bursts of its own.
+	even bool
 }
 
 // numAdvisers is the usual number of concurrent calls to the policy service.
@@ -47,6 +50,14 @@
 	return sim
 }
 
+// interval returns the time to the next job of a workload.
+func (load *workload) interval(sim *simulation) time.Duration {
+	if load.even {
+		return time.Duration(float64(time.Second) / load.rate)
+	}
+	return time.Duration(sim.arrivals.ExpFloat64() / load.rate * float64(time.Second))
+}
+
 // submitLoad submits the jobs of a workload for the next d of virtual time.
 func (sim *simulation) submitLoad(o *owner, load workload, d time.Duration) {
 	end := sim.now.Add(d)
@@ -55,7 +66,7 @@
 		if sim.now.After(end) {
 			return
 		}
-		spec := flow.Spec{Queue: load.queue, Text: "text"}
+		spec := flow.Spec{Queue: load.queue, Team: load.team, Text: "text"}
 		for i := range load.steps {
 			s := flow.StepSpec{
 				Count: load.count, Need: place.Resources{CPUMillis: load.cpuMillis, MemoryMB: 1000}, Estimate: load.estimate,
@@ -70,7 +81,11 @@
 		}
 		sim.submitted++
 		sim.submit(o, fmt.Sprintf("l%05d", sim.submitted), spec)
-		sim.schedule(time.Duration(sim.arrivals.ExpFloat64()/load.rate*float64(time.Second)), next)
+		sim.schedule(load.interval(sim), next)
+	}
+	if load.even {
+		sim.schedule(time.Duration(sim.arrivals.Float64()/load.rate*float64(time.Second)), next)
+		return
 	}
 	sim.schedule(0, next)
 }
@@ -150,7 +165,10 @@
 
 // playHeavyLoad plays the load of the largest fleet with a burst, and returns the number of starts.
 func playHeavyLoad(t testing.TB) int64 {
-	sim := newLargestFleet(t, 1, largestFleetSize)
+	return newLargestFleet(t, 1, largestFleetSize).playHeavyLoad()
+}
+
+func (sim *simulation) playHeavyLoad() int64 {
 	o := sim.takeOver()
 	sim.advance(time.Second)
 	for _, l := range heavyLoad(largestFleetSize) {
--- a/internal/cell/pass.go
+++ b/internal/cell/pass.go
@@ -53,6 +53,7 @@
 func (c *Core) Schedule(now time.Time) {
 	c.Stats.Passes++
 	c.refreshAssumptions()
+	c.clearClaims()
 	freed := c.freed
 	c.freed = nil
 	for _, ex := range freed {
@@ -61,7 +62,9 @@
 	failed := make(map[*stepState]fleet.TaskID)
 	p := pass{maxRear: max(rearSteps, len(c.runnable)/rearRoundPasses)}
 	c.runnable = slices.DeleteFunc(c.runnable, func(st *stepState) bool {
+		c.seeClaims(st)
 		if !c.visit(now, &p, st) {
+			c.claimRoom(now, st)
 			return false
 		}
 		if t, ok := c.crashingTask(now, st); ok {
@@ -75,6 +78,7 @@
 		if st.job.accepted && len(st.pending) > 0 {
 			c.startTasks(now, st, freed)
 		}
+		c.claimRoom(now, st)
 		st.queued = len(st.pending) > 0
 		if !st.queued {
 			st.endTrialWait()
@@ -103,7 +107,7 @@
 	if st.spec.Gang && c.stopPartOfGang(now, st) {
 		return
 	}
-	if !c.leavesReserve(st, 1) {
+	if !c.leavesReserve(st, 1) || !c.leavesClaims(st, st.quotaTasks()) {
 		st.fullScan, st.skipped = false, true // the next visit considers all executors
 		return
 	}
@@ -126,7 +130,7 @@
 	waiting := 0
 	for waiting < len(st.pending) {
 		index := st.pending[waiting]
-		if !c.leavesReserve(st, 1) {
+		if !c.leavesReserve(st, 1) || !c.leavesClaims(st, 1) {
 			st.skipped = true
 			return
 		}
--- a/internal/cell/quota.go
+++ b/internal/cell/quota.go
@@ -17,6 +17,13 @@
 	// a team with a backlog is below it for a moment whenever a run ends.
 	quotaLeftAfter = time.Second
 
+	// From quotaPatience until quotaPatience + quotaDrain after the quota has begun to hold a step back, and again each
+	// quotaCycle, later steps of the team wait as well: a large task or a gang would never start beside a stream of
+	// small ones. The others must not wait for ever, since long-running tasks may leave no room for it.
+	quotaPatience = 2 * time.Second
+	quotaDrain    = 10 * time.Second
+	quotaCycle    = 60 * time.Second
+
 	// gangQuotaRetryAfter is the retry delay sent with the rejection of a gang above the quota of its team, which can
 	// only run once the quota is raised.
 	gangQuotaRetryAfter = 5 * time.Minute
@@ -26,6 +33,9 @@
 type team struct {
 	*fleet.Team
 	quota share.Quota
+	// weight is its weight among the teams, accounts what it has had of what it competes for.
+	weight   float64
+	accounts map[contest]*account
 	// assumed is the sum of what its jobs may have running on executors that are not claimed, assumedOver the
 	// part of it that the capacity of these executors does not bound. unclaimed counts such jobs by executor.
 	assumed, assumedOver place.Resources
@@ -35,6 +45,8 @@
 	heldAt, reachedAt time.Time
 	reached           bool
 	held              int64
+	// drainedIn is the last pass in which the team's steps wait for an earlier one.
+	drainedIn int64
 }
 
 // setTeams makes the teams of the configuration those that jobs belong to.
@@ -43,11 +55,19 @@
 		return
 	}
 	former := c.teams
+	weights := make([]float64, 0, len(c.config.Teams))
+	for i := range c.config.Teams {
+		weights = append(weights, c.config.Teams[i].Weight)
+	}
 	c.teams = make(map[string]*team, len(c.config.Teams))
 	for i := range c.config.Teams {
 		cfg := &c.config.Teams[i]
-		t := &team{Team: cfg, unclaimed: make(map[string]int)}
+		t := &team{
+			Team: cfg, unclaimed: make(map[string]int), accounts: make(map[contest]*account),
+			weight: share.Weight(cfg.Weight, weights),
+		}
 		if was := former[cfg.Name]; was != nil {
+			t.keepAccounts(was)
 			t.heldAt, t.reachedAt, t.reached, t.held = was.heldAt, was.reachedAt, was.reached, was.held
 		}
 		t.quota.Limit = cfg.Limit
@@ -55,6 +75,9 @@
 	}
 	for _, j := range c.jobs {
 		j.team = c.teams[j.Spec.Team]
+		for _, st := range j.steps {
+			c.joinContest(st)
+		}
 		for _, runs := range j.runs {
 			for _, r := range runs {
 				c.countForTeam(r, 1)
@@ -69,6 +92,9 @@
 		}
 	}
 	c.refreshAssumptions()
+	for _, st := range c.runnable {
+		st.turn = 0 // until the next update of the shares
+	}
 }
 
 // countForTeam counts a run for its team, from the decision to start it until it has certainly ended. Best-effort tasks
@@ -77,6 +103,7 @@
 	if t := r.job.team; t != nil {
 		t.quota.Count(r.spec().Need, sign)
 	}
+	r.countShare(sign)
 	c.markRunsChanged(r.job)
 }
 
@@ -105,16 +132,33 @@
 // skipsForQuota reports whether a scheduling pass leaves the step out because of the quota of its team, and records
 // that. A gang of which some tasks run and steps with tasks that may crash their executors are looked at all the same.
 func (c *Core) skipsForQuota(now time.Time, st *stepState) bool {
-	if !st.holdsForQuota() || st.job.Suspicious() || st.spec.Gang && len(st.job.runs) > 0 {
+	t := st.job.team
+	if t == nil || st.job.Suspicious() || st.spec.Gang && len(st.job.runs) > 0 {
+		return false
+	}
+	if t.drainedIn != c.Stats.Passes && !st.holdsForQuota() {
 		return false
 	}
 	c.holdForQuota(now, st)
+	if t.drainedIn != c.Stats.Passes && st.drainsQuota(now) {
+		t.drainedIn = c.Stats.Passes
+	}
 	return true
 }
 
+// drainsQuota reports whether later steps of the team have to leave their quota to this one.
+func (st *stepState) drainsQuota(now time.Time) bool {
+	held := now.Sub(st.quotaHeldSince) % quotaCycle
+	return held >= quotaPatience && held < quotaPatience+quotaDrain &&
+		st.job.team.quota.EverAllows(st.spec.Need, st.quotaTasks())
+}
+
 // holdForQuota records that a start of the step is held back. The next visit considers all executors.
 func (c *Core) holdForQuota(now time.Time, st *stepState) {
 	st.fullScan, st.skipped = false, true
+	if st.quotaHeldSince.IsZero() {
+		st.quotaHeldSince = now
+	}
 	t := st.job.team
 	t.heldAt = now
 	if t.reached {
--- a/internal/cell/quota_test.go
+++ b/internal/cell/quota_test.go
@@ -238,6 +238,16 @@
 	}
 }
 
+// Guards against a large task that never starts beside a stream of small ones of the same team.
+func TestLargeTaskStartsBesideStreamOfSmallOnes(t *testing.T) {
+	sim, o := newTeamCell(t, 6, place.Resources{CPUMillis: 4000})
+	sim.submitLoad(o, workload{queue: slowQueue, rate: 8, steps: 1, count: 1, estimate: 600 * time.Millisecond, cpuMillis: 1000, team: "a"}, 40*time.Second)
+	sim.advance(5 * time.Second)
+	sim.submitTasks(o, "large", 1, 4000, time.Second, nil)
+	sim.advance(30 * time.Second)
+	assert.Equal(t, o.core.State("large").State, flow.Completed)
+}
+
 // Guards against best-effort and long-running tasks that escape the quota.
 func TestAllKindsOfTasksCount(t *testing.T) {
 	sim, o := newTeamCell(t, 6, place.Resources{CPUMillis: 4000})
--- a/internal/cell/steps.go
+++ b/internal/cell/steps.go
@@ -83,6 +83,17 @@
 	heldTooLong bool
 	// endedAt is, by index, when the last run of a long-running task that does not run any more ended.
 	endedAt map[int]time.Time
+	// quotaHeldSince is since when the quota of the team has held the step back without a start of it.
+	quotaHeldSince time.Time
+	// claim is the contest that the step takes part in, account what its team has of it; both may be nil.
+	claim   *claim
+	account *account
+	// claimedAt is since when the step has claimed room without a start although there was enough.
+	claimedAt time.Time
+	// claimsBefore is the CPU in millicores that steps of other teams before it claimed in the last pass.
+	claimsBefore int64
+	// turn orders the steps of teams beyond their share, which come after those of all others.
+	turn float64
 	// failuresOn counts failed and stalled runs of the step by executor.
 	failuresOn map[string]int
 }
@@ -158,6 +169,7 @@
 	if st.spec.SameRack && st.spec.DataRack == "" {
 		st.preferredRack = c.rackFittingMostTasks(st)
 	}
+	c.joinContest(st)
 	j.steps[s] = st
 	c.blockStep(st)
 	return st
@@ -214,6 +226,7 @@
 	}
 	st.queued = true
 	st.resetWaiting()
+	c.setTurn(st)
 	i := sort.Search(len(c.runnable), func(i int) bool { return schedulesBefore(st, c.runnable[i]) })
 	c.runnable = slices.Insert(c.runnable, i, st)
 }
@@ -229,12 +242,15 @@
 	}
 }
 
-// schedulesBefore orders steps by priority, then by the objective of their job. This strict order
-// suits ordinary load and short bursts: no step starves as long as the fleet catches up.
+// schedulesBefore orders steps by priority, then by the share of their team, then by the objective of their job. This
+// strict order suits ordinary load and short bursts: no step starves as long as the fleet catches up.
 func schedulesBefore(a, b *stepState) bool {
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
 	}
+	if a.turn != b.turn {
+		return a.turn < b.turn
+	}
 	if !a.job.sloDeadline.Equal(b.job.sloDeadline) {
 		return a.job.sloDeadline.Before(b.job.sloDeadline)
 	}
--- a/internal/cell/teamstats.go
+++ b/internal/cell/teamstats.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -21,14 +22,36 @@
 	Runs                 int64
 	// TimesHeld is the number of times that it has reached its quota.
 	TimesHeld int64
+	// Share is its part of all weights. Debt is by how many core-seconds it is beyond its share where it is furthest,
+	// while demand exceeds the capacity; a negative one is what it is owed.
+	Share, Debt float64
+}
+
+// debt returns by how many core-seconds the team is beyond its share in the contest where it is furthest.
+func (t *team) debt() float64 {
+	debt := math.Inf(-1)
+	for _, a := range t.accounts {
+		if !math.IsInf(a.level, 1) {
+			debt = max(debt, a.had-a.level*a.weight)
+		}
+	}
+	if math.IsInf(debt, -1) {
+		return 0
+	}
+	return debt
 }
 
 // Teams returns the states of the teams with the highest use, and the sum of the others.
 func (c *Core) Teams() []TeamStat {
 	stats := make([]TeamStat, 0, len(c.teams))
+	weights := 0.0
+	for _, t := range c.teams {
+		weights += t.weight
+	}
 	for _, t := range c.teams {
 		stats = append(stats, TeamStat{
 			Name: t.Name, Used: t.quota.Used, Assumed: t.quota.Assumed, Limit: t.Limit, Runs: int64(t.quota.Runs), TimesHeld: t.held,
+			Share: t.weight / weights, Debt: t.debt(),
 		})
 	}
 	slices.SortFunc(stats, func(a, b TeamStat) int {
@@ -42,6 +65,7 @@
 		others.Used, others.Assumed = others.Used.Add(s.Used), others.Assumed.Add(s.Assumed)
 		others.Runs += s.Runs
 		others.TimesHeld += s.TimesHeld
+		others.Share, others.Debt = others.Share+s.Share, others.Debt+s.Debt
 	}
 	return append(stats[:maxTeamStats], others)
 }
--- a/internal/share/quota.go
+++ b/internal/share/quota.go
@@ -38,6 +38,9 @@
 	if !within(total, q.Limit) {
 		return 0
 	}
+	if within(total.Add(Times(need, int64(most))), q.Limit) {
+		return most
+	}
 	n := int64(most)
 	for _, d := range [...][3]int64{
 		{q.Limit.CPUMillis, total.CPUMillis, need.CPUMillis},
