Look at fewer waiting steps for quotas and claims

Change: compare only steps that the pass would go through, and stop summing up claims of a contest once they exceed what is free.

--- a/internal/cell/pass.go
+++ b/internal/cell/pass.go
@@ -28,16 +28,16 @@
 
 // visit reports whether a pass goes through the next step.
 func (c *Core) visit(now time.Time, p *pass, st *stepState) bool {
-	if c.skipsForQuota(now, st) {
+	inRear := p.position >= frontSteps && !st.fullScan
+	if inRear && (p.rear >= p.maxRear || !st.visitedAt.Before(c.rearRoundAt)) {
+		st.skipped = true
 		return false
 	}
-	inFront := p.position < frontSteps
+	if c.skipsForQuota(now, st) {
+		return false // it takes no place from others
+	}
 	p.position++
-	if !inFront && !st.fullScan {
-		if p.rear >= p.maxRear || !st.visitedAt.Before(c.rearRoundAt) {
-			st.skipped = true
-			return false
-		}
+	if inRear {
 		p.rear++
 	}
 	st.visitedAt = now
--- a/internal/cell/shares.go
+++ b/internal/cell/shares.go
@@ -39,6 +39,8 @@
 	peak float64
 	// usable is what is free in such pieces and what was in use when that was looked for, in the pass usableIn.
 	usable, usableIn int64
+	// closedIn is the last pass in which more was claimed than is free.
+	closedIn int64
 }
 
 // account is what a team has of one contest.
@@ -123,9 +125,14 @@
 	if cl == nil || !c.anyYields || len(st.pending) == 0 {
 		return
 	}
+	if cl.closedIn == c.Stats.Passes {
+		st.claimedAt = now
+		return
+	}
 	available := c.available(cl)
 	if cl.millis > available {
-		st.claimedAt = now // what comes later has to yield anyway
+		cl.closedIn = c.Stats.Passes // what comes later has to yield anyway
+		st.claimedAt = now
 		return
 	}
 	if st.holdsForQuota() || !c.leavesReserve(st, 1) {
