--- a/internal/cell/commands.go
+++ b/internal/cell/commands.go
@@ -88,6 +88,7 @@
 	}
 	c.observeRestart(now, st, index, ex)
 	c.observeTaken(now, st, ex)
+	st.quotaHeldSince, st.claimedAt = time.Time{}, time.Time{}
 	st.job.startedRuns++
 	st.job.lastStart = now
 	c.Stats.Starts++
