--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -135,7 +135,7 @@
 	if c.isWanted(st.rack()) {
 		w := c.near.wanted[st.rack()]
 		r.Idle = now.Sub(w.gotAt)
-		claims, i := c.claims(w, st, need*float64(missing))
+		claims, i := c.rackClaims(w, st, need*float64(missing))
 		// The steps before it use all of the rack, and only part of that on the executors that this one may use.
 		r.Ahead = near.Ahead(claims, i) * share
 	}
@@ -153,9 +153,9 @@
 	return n >= st.spec.Count
 }
 
-// claims returns the claims of the steps that wait for a rack and of one step, in scheduling order, and the index of
+// rackClaims returns the claims of the steps that wait for a rack and of one step, in scheduling order, and the index of
 // that step.
-func (c *Core) claims(w *wantedRack, st *stepState, cpu float64) ([]near.Claim, int) {
+func (c *Core) rackClaims(w *wantedRack, st *stepState, cpu float64) ([]near.Claim, int) {
 	steps := slices.DeleteFunc(slices.Clone(w.steps), func(other *stepState) bool { return other == st })
 	steps = append(steps, st)
 	slices.SortFunc(steps, func(a, b *stepState) int {
