Keep the quota for a large step until it has found a place

A gang that its quota held back got its turn beside a stream of smaller tasks of its team, but once the quota had room for it these went on in the passes until executors were recorded for it, so that it waited for the next turn: 5 s in a play where the quota is free after 2 s. Later steps wait until a task of it has started now, for 10 s at most as before, and the turn begins after 1 s instead of 2 s, since urgent jobs have about 2 s.

--- a/internal/cell/quota.go
+++ b/internal/cell/quota.go
@@ -20,7 +20,7 @@
 	// From quotaPatience until quotaPatience + quotaDrain after the quota has begun to hold a step back, and again each
 	// quotaCycle, later steps of the team wait as well: a large task or a gang would never start beside a stream of
 	// small ones. The others must not wait for ever, since long-running tasks may leave no room for it.
-	quotaPatience = 2 * time.Second
+	quotaPatience = time.Second
 	quotaDrain    = 10 * time.Second
 	quotaCycle    = 60 * time.Second
 
@@ -140,18 +140,22 @@
 	if t == nil || st.job.Suspicious() || st.spec.Gang && len(st.job.runs) > 0 {
 		return false
 	}
-	if t.drainedIn != c.Stats.Passes && !st.holdsForQuota() {
+	first, held := t.drainedIn != c.Stats.Passes, st.holdsForQuota()
+	if first && st.drainsQuota(now) {
+		t.drainedIn = c.Stats.Passes // also once the quota has room for it, until it finds a place
+	}
+	if first && !held {
 		return false
 	}
 	c.holdForQuota(now, st)
-	if t.drainedIn != c.Stats.Passes && st.drainsQuota(now) {
-		t.drainedIn = c.Stats.Passes
-	}
 	return true
 }
 
 // drainsQuota reports whether later steps of the team have to leave their quota to this one.
 func (st *stepState) drainsQuota(now time.Time) bool {
+	if st.quotaHeldSince.IsZero() {
+		return false
+	}
 	held := now.Sub(st.quotaHeldSince) % quotaCycle
 	return held >= quotaPatience && held < quotaPatience+quotaDrain &&
 		st.job.team.quota.EverAllows(st.spec.Need, st.quotaTasks())
