Count and log jobs beyond the rate of their team

An operator could not see which jobs yield in a shortage. There is a counter by team and a log line for each such job.

Measured: the tests of shares, quotas and teams pass.

--- a/internal/cell/quota.go
+++ b/internal/cell/quota.go
@@ -35,6 +35,8 @@
 	quota share.Quota
 	// rate tells which of its jobs are beyond the number a second that it is entitled to.
 	rate share.Rate
+	// beyondRate counts those since the takeover.
+	beyondRate int64
 	// weight is its weight among the teams, accounts what it has had of what it competes for.
 	weight   float64
 	accounts map[contest]*account
@@ -70,7 +72,7 @@
 		}
 		if was := former[cfg.Name]; was != nil {
 			t.keepAccounts(was)
-			t.rate = was.rate
+			t.rate, t.beyondRate = was.rate, was.beyondRate
 			t.heldAt, t.reachedAt, t.reached, t.held = was.heldAt, was.reachedAt, was.reached, was.held
 		}
 		t.rate.Set(now, t.weight)
--- a/internal/cell/shares.go
+++ b/internal/cell/shares.go
@@ -112,7 +112,11 @@
 	if t == nil || q.Public || spec.Occurrences > 0 || slices.ContainsFunc(spec.Steps, func(s flow.StepSpec) bool { return s.LongRunning }) {
 		return false
 	}
-	return !t.rate.Take(now)
+	if t.rate.Take(now) {
+		return false
+	}
+	t.beyondRate++
+	return true
 }
 
 // setTurn gives a step that begins to wait its place behind the other steps of its team.
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -63,7 +63,9 @@
 	spec.Accepted = now
 	spec.AcceptedBy = &flow.Acceptance{Queue: *q, ConfigVersion: c.config.Version}
 	j := c.newJob(flow.NewJob(id, spec, q.MaxAttempts), q)
-	j.overRate = c.isOverRate(now, &spec, q)
+	if j.overRate = c.isOverRate(now, &spec, q); j.overRate {
+		c.Log.WithField("job", id).WithField("queue", q.Name).WithField("team", spec.Team).Info("job is beyond the rate of its team")
+	}
 	j.submitReplies = append(j.submitReplies, reply)
 	c.writes.addNew(j)
 	c.addSteps(now, j, j.OpenDue(now))
--- a/internal/cell/teamstats.go
+++ b/internal/cell/teamstats.go
@@ -22,6 +22,8 @@
 	Runs                 int64
 	// TimesHeld is the number of times that it has reached its quota.
 	TimesHeld int64
+	// BeyondRate is the number of jobs that were accepted beyond its rate.
+	BeyondRate int64
 	// Share is its part of all weights. Debt is by how many core-seconds it is beyond its share where it is furthest,
 	// while demand exceeds the capacity; a negative one is what it is owed.
 	Share, Debt float64
@@ -50,7 +52,7 @@
 	}
 	for _, t := range c.teams {
 		stats = append(stats, TeamStat{
-			Name: t.Name, Used: t.quota.Used, Assumed: t.quota.Assumed, Limit: t.Limit, Runs: int64(t.quota.Runs), TimesHeld: t.held,
+			Name: t.Name, Used: t.quota.Used, Assumed: t.quota.Assumed, Limit: t.Limit, Runs: int64(t.quota.Runs), TimesHeld: t.held, BeyondRate: t.beyondRate,
 			Share: t.weight / weights, Debt: t.debt(),
 		})
 	}
@@ -65,6 +67,7 @@
 		others.Used, others.Assumed = others.Used.Add(s.Used), others.Assumed.Add(s.Assumed)
 		others.Runs += s.Runs
 		others.TimesHeld += s.TimesHeld
+		others.BeyondRate += s.BeyondRate
 		others.Share, others.Debt = others.Share+s.Share, others.Debt+s.Debt
 	}
 	return append(stats[:maxTeamStats], others)
--- a/internal/host/teams.go
+++ b/internal/host/teams.go
@@ -22,6 +22,7 @@
 		_, _ = fmt.Fprintf(w, "team_share{team=%q} %g\n", t.Name, t.Share)
 		_, _ = fmt.Fprintf(w, "team_debt_core_seconds{team=%q} %g\n", t.Name, t.Debt)
 		_, _ = fmt.Fprintf(w, "team_runs{team=%q} %d\n", t.Name, t.Runs)
+		_, _ = fmt.Fprintf(w, "team_jobs_beyond_rate_total{team=%q} %d\n", t.Name, t.BeyondRate)
 		_, _ = fmt.Fprintf(w, "team_quota_reached_total{team=%q} %d\n", t.Name, t.TimesHeld)
 	}
 }
