--- a/review/rig4/executor.go
+++ b/review/rig4/executor.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -30,12 +31,36 @@
 	ended    chan struct{}
 }
 
+// otherPace returns the highest pace of runs of other jobs; the caller holds mu.
+func (x *executor) otherPace(job string) int {
+	most := 0
+	for task, w := range x.runs {
+		if !strings.HasPrefix(task, job) {
+			most = max(most, w.percent)
+		}
+	}
+	return most
+}
+
+// each calls a function for all runs of a job, in any order.
+func (x *executor) each(job string, f func(w *work)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for task, w := range x.runs {
+		if strings.HasPrefix(task, job) {
+			f(w)
+		}
+	}
+}
+
 // work is one run.
 type work struct {
 	task   string
 	number int64
-	begun  time.Time
-	length time.Duration
+	// length is how long the run works at full pace, 0 without an end; worked is how much of that it has done.
+	length, worked time.Duration
+	// percent is its pace.
+	percent int
 }
 
 // capacity of each executor.
@@ -75,14 +100,17 @@
 
 // work ends runs that are done or whose lease is over.
 func (x *executor) work() {
-	for {
+	for last := time.Now(); ; {
 		time.Sleep(workTick)
+		passed := time.Since(last)
+		last = last.Add(passed)
 		x.mu.Lock()
 		for _, w := range x.runs {
+			w.worked += passed * time.Duration(w.percent) / fullPace
 			switch {
 			case x.clock() >= x.lease:
 				x.end(w, "lapsed")
-			case w.length > 0 && time.Since(w.begun) >= w.length:
+			case w.length > 0 && w.worked >= w.length:
 				x.end(w, "done")
 			}
 		}
@@ -90,7 +118,13 @@
 	}
 }
 
-const workTick = 5 * time.Millisecond
+const (
+	workTick = 5 * time.Millisecond
+	// minLate and maxLate limit how much later a late order is carried out.
+	minLate, maxLate = 2 * time.Second, 12 * time.Second
+	// fullPace is the pace of a run at its start, in percent.
+	fullPace = 100
+)
 
 // finishOne makes a task of a job end done, if one runs here.
 func (x *executor) finishOne(job string) bool {
@@ -123,6 +157,7 @@
 	UntilMs  int64  `json:"until_ms"`
 	SeenUpto int64  `json:"seen_upto"`
 	WaitMs   int64  `json:"wait_ms"`
+	Percent  int    `json:"percent"`
 }
 
 func (x *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -131,6 +166,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.URL.Path != "/v1/hold" && x.rig.comesLate() {
+		x.executeLate(r, o)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	body := map[string]any{}
@@ -140,20 +178,11 @@
 		status = http.StatusMisdirectedRequest
 	case o.Fence < x.fence:
 		status, body["reason"] = http.StatusConflict, "fence"
+	case r.URL.Path == "/v1/hold":
+		x.take(o)
+		x.hold(r, o, body)
 	default:
-		x.fence = o.Fence
-		x.lease = max(x.lease, min(o.UntilMs, x.clock()+x.rig.maxHold.Milliseconds()))
-		switch r.URL.Path {
-		case "/v1/run-start":
-			status = x.start(o, body)
-		case "/v1/run-stop":
-			if run := x.runs[o.Task]; run != nil && run.number == o.Run {
-				x.end(run, "stopped")
-			}
-			x.highest[o.Task] = max(x.highest[o.Task], o.Run)
-		case "/v1/hold":
-			x.hold(r, o, body)
-		}
+		status = x.execute(r.URL.Path, o, body)
 	}
 	body["clock_ms"], body["born"] = x.clock(), x.born.UnixMilli()
 	w.Header().Set("Content-Type", "application/json")
@@ -161,6 +190,51 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// take takes note of the fence and the lease of an order; the caller holds mu.
+func (x *executor) take(o order) {
+	x.fence = o.Fence
+	x.lease = max(x.lease, min(o.UntilMs, x.clock()+x.rig.maxHold.Milliseconds()))
+}
+
+// execute carries an order out; the caller holds mu.
+func (x *executor) execute(path string, o order, body map[string]any) int {
+	x.take(o)
+	run := x.runs[o.Task]
+	if run != nil && run.number != o.Run {
+		run = nil
+	}
+	switch path {
+	case "/v1/run-start":
+		return x.start(o, body)
+	case "/v1/run-stop":
+		if run != nil {
+			x.end(run, "stopped")
+		}
+		x.highest[o.Task] = max(x.highest[o.Task], o.Run)
+	case "/v1/pace":
+		if run != nil {
+			run.percent = o.Percent
+			x.rig.note("executor %s: %s run %d has a pace of %d percent, fence %d", x.id, o.Task, o.Run, o.Percent, o.Fence)
+		}
+	}
+	return http.StatusOK
+}
+
+// executeLate carries an order out 2 to 12 s later and gives no answer.
+func (x *executor) executeLate(r *http.Request, o order) {
+	path, wait := r.URL.Path, minLate+rand.N(maxLate-minLate)
+	x.rig.note("executor %s: %s %s run %d (percent %d) gets no answer and is carried out %d ms later", x.id, path, o.Task, o.Run, o.Percent, wait.Milliseconds())
+	time.AfterFunc(wait, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if o.Fence >= x.fence {
+			x.execute(path, o, map[string]any{})
+		}
+	})
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // start begins a run; the caller holds mu.
 func (x *executor) start(o order, body map[string]any) int {
 	if run := x.runs[o.Task]; run != nil && run.number == o.Run {
@@ -171,7 +245,7 @@
 		return http.StatusConflict
 	}
 	id, _, _ := strings.Cut(o.Task, ".")
-	x.runs[o.Task] = &work{task: o.Task, number: o.Run, begun: time.Now(), length: x.rig.started(x, id, o)}
+	x.runs[o.Task] = &work{task: o.Task, number: o.Run, length: x.rig.started(x, id, o), percent: fullPace}
 	return http.StatusOK
 }
 
@@ -194,9 +268,15 @@
 	for _, w := range x.runs {
 		percent := 100
 		if w.length > 0 {
-			percent = int(min(99, 100*time.Since(w.begun)/w.length))
+			percent = int(min(99, 100*w.worked/w.length))
+		}
+		figure := 1000 * w.percent / fullPace
+		if job, _, _ := strings.Cut(w.task, "."); x.rig.tailOf != nil {
+			if tail := x.rig.tailOf(job, x.otherPace(job)); tail > 0 {
+				figure = tail
+			}
 		}
-		running = append(running, []any{w.task, w.number, "", percent, 1000})
+		running = append(running, []any{w.task, w.number, "", percent, figure})
 	}
 	ends := x.ends
 	if ends == nil {
--- a/review/rig4/large.go
+++ b/review/rig4/large.go
@@ -43,6 +43,10 @@
 	After      []int  `json:"after,omitempty"`
 	Perpetual  bool   `json:"perpetual,omitempty"`
 	Image      string `json:"image,omitempty"`
+	Fills      bool   `json:"fills,omitempty"`
+	TargetMs   int    `json:"target_ms,omitempty"`
+
+	AntiAffinity int `json:"anti_affinity,omitempty"`
 }
 
 type jobBody struct {
--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +30,11 @@
 	maxHold time.Duration
 	// workOf returns how long a task works; 0 means until it is stopped.
 	workOf func(job string, o order) time.Duration
+	// tailOf returns the tail of the response times, in milliseconds, of tasks of a job that serves, 0 of another one;
+	// pace is the highest of other tasks on the executor.
+	tailOf func(job string, pace int) int
+	// lateShare is the share of orders, in thousandths, that get no answer and are carried out late.
+	lateShare atomic.Int64
 
 	begun     time.Time
 	instances []*instance
@@ -49,6 +56,8 @@
 	front   string
 	gone    chan struct{}
 	logPath string
+	// toldToStop is set when the process was sent SIGTERM.
+	toldToStop atomic.Bool
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -97,6 +106,18 @@
 	return "", fmt.Errorf("no loopback addresses are free")
 }
 
+// owner returns the instance that the executors last heard as the owner, by the row that it renews in the store; nil if
+// there is none.
+func (r *rig) owner() *instance {
+	row := r.store.ownerRow()
+	for _, i := range r.instances {
+		if bytes.Contains(row, []byte(i.name)) {
+			return i
+		}
+	}
+	return nil
+}
+
 // note writes a line of the record.
 func (r *rig) note(format string, args ...any) {
 	r.mu.Lock()
@@ -113,6 +134,9 @@
 	return r.workOf(job, o)
 }
 
+// comesLate draws whether an order gets no answer and is carried out late.
+func (r *rig) comesLate() bool { return rand.Int64N(1000) < r.lateShare.Load() }
+
 // addExecutor starts an executor.
 func (r *rig) addExecutor(id, zone, rack string) error {
 	x, err := startExecutor(r, id, zone, rack)
@@ -204,6 +228,11 @@
 			return
 		}
 		state := cmd.ProcessState.String()
+		if i.toldToStop.Swap(false) {
+			i.rig.note("%s has stopped as it was told: %s", i.name, state)
+			time.Sleep(restartTime)
+			continue
+		}
 		i.mu.Lock()
 		i.ends = append(i.ends, state)
 		i.mu.Unlock()
@@ -215,6 +244,15 @@
 // restartTime is how long the platform takes to start a process again.
 const restartTime = 500 * time.Millisecond
 
+// restart sends SIGTERM to the process, as planned work does. It is started again when it has ended.
+func (i *instance) restart() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.rig.note("%s is told to stop", i.name)
+	i.toldToStop.Store(true)
+	_ = i.cmd.Process.Signal(syscall.SIGTERM)
+}
+
 // lastWords returns the line of the log that tells why a process of Go ended by itself, and the place in the source.
 func (i *instance) lastWords() string {
 	text, err := os.ReadFile(i.logPath)
--- a/review/rig4/store.go
+++ b/review/rig4/store.go
@@ -64,6 +64,13 @@
 	s.wake()
 }
 
+// ownerRow returns the row that the owner of the cell renews.
+func (s *store) ownerRow() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey{"cell", "cell", "owner"}].Value
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
