--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -28,7 +28,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNotRun)
 	}
-	cases := map[string]func(*rig) (int, error){"large-jobs": largeJobs, "paced-work": pacedWork, "late-pace": latePace}
+	cases := map[string]func(*rig) (int, error){"large-jobs": largeJobs, "paced-work": pacedWork, "late-pace": latePace, "due-tomorrow": dueTomorrow}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -63,6 +63,8 @@
 	cmd *exec.Cmd
 	// ends are how its processes ended by themselves.
 	ends []string
+	// mostKB is the most memory that one of its processes had.
+	mostKB int
 }
 
 // newRig starts the store. The temporary folder holds settings and logs of the instances.
