--- a/review/rig4/paced.go
+++ b/review/rig4/paced.go
@@ -144,10 +144,11 @@
 	}
 	if r.trouble {
 		r.note("%d of 1000 orders get no answer and are carried out late, for %s", lateShare, lateTime)
-		r.lateShare.Store(lateShare)
+		r.setLateShare(lateShare)
 		time.AfterFunc(lateTime, func() {
-			r.lateShare.Store(0)
-			r.note("orders are carried out at once again")
+			r.setLateShare(0)
+			orders, late := r.lateOrders()
+			r.note("orders are carried out at once again; %d of %d were late", late, orders)
 		})
 	}
 	time.Sleep(shortPeak)
